Count no attempt against the admission limit once its answer is overdue

The refusals said "not in time; 9 in flight, 43 held": the limit of FitsProxy stood at its least, 1.5 a server. With each attempt's time logged, the median answer took 11 ms, but 155 of 4952 attempts ended by time-out after 240 to 1340 ms, spread evenly over all servers and starting at 2.2 s: 3 percent that are never answered, or stop in the middle of the body (Content-Length 644, 530 bytes there, none in the socket). 155 of them at 0.7 s in the mean held two thirds of the nine places. Fewer answers then meant a smaller limit by Little's law, and the time-outs counted as answer times of 1340 ms, which blew up what the class was thought to take.

Ruled out: the network code losing answers (nothing was left unread in the sockets, new and used connections alike); the load (asked work 7 to 20 ms a ms for over 60 cores); ejection (two short ones).

At fault: the in_flight_ counter behind FitsProxy, which counted what no answer was expected for any more, and Learn, which took time-outs for answer times. Attempts now leave the count when their class hardly ever takes longer (mean and four deviations, the same figure as for a silent server's time-out), and a time-out counts as no slower than that.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <cmath>
 #include <set>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 
@@ -84,13 +85,6 @@
 // gRFC A50, failure percentage, evaluated at each answer as DESIGN states it.
 class OutlierDetector {
  public:
-  struct Host {
-    int successes = 0, failures = 0, multiplier = 0;
-    bool ejected = false;
-    TimePoint return_at{};
-    int attempts() const { return successes + failures; }
-  };
-
   // Running counts over the hosts: an answer must not cost a scan of the fleet.
   struct Fleet {
     int hosts = 0, ejected = 0;  // listed as ready; of these out of service
@@ -150,22 +144,6 @@
   }
 };
 
-// ---- 4. Cold-start budget (its state; the pick below asks it) -----------------------------------------
-struct Server {
-  ServerEntry entry;
-  TimePoint gone_since{};
-  int in_list = 0;      // the last complete list that named it
-  double own_work = 0;  // hinted, of this proxy, in flight
-  int own_count = 0;
-  OutlierDetector::Host health;
-  SentWindow sent;
-  TimePoint turn_since{};  // cold: the last send to it, or its start as told
-  double turn_phase = 1;   // part of the time between sends that has to pass
-  double slowness = 1;     // time of its answers over what the fleet takes for the like
-  TimePoint slowness_at{};
-  TimePoint quiet_since{};
-};
-
 // What may be done with a request now.
 struct Permission {
   bool dispatch = false;
@@ -393,7 +371,8 @@
               (r.attempts.empty()
                    ? "not in time"
                    : "last at server " + std::to_string(servers_[r.attempts.back().server].entry.server)) +
-              "; " + std::to_string(in_flight_) + " in flight, " + std::to_string(held_.size()) + " held");
+              "; " + std::to_string(awaited_.size()) + " in flight, " + std::to_string(held_.size()) +
+              " held");
     if (may.refuse) {
       out_->push_back(Refuse{r.id, retry_after});
     } else {
@@ -408,16 +387,21 @@
   Duration TimeoutFor(const Request& r, const Server& s) const {
     const ClassSettings& c = settings_.classes[r.cls];
     const Spread& seen = classes_[r.cls].latency;
-    if (c.effect == Effect::kUnsafe || seen.samples < 10 || s.own_count == 0 || retry_tokens_ < 1)
+    if (c.effect == Effect::kUnsafe || seen.samples < kYoung || s.own_count == 0 || retry_tokens_ < 1)
       return Duration(0);
     if (static_cast<int>(r.attempts.size()) + 1 >= settings_.max_attempts) return Duration(0);
-    const double scale = WorkScale(r);
-    const Duration repeat((seen.mean + seen.deviation) * scale);
-    const Duration unlikely((seen.mean + kDeviations * seen.deviation) * scale);
+    const Duration repeat((seen.mean + seen.deviation) * WorkScale(r));
+    const Duration unlikely = Unlikely(r);
     if (now_ - s.quiet_since < unlikely || now_ + unlikely + repeat > r.due) return Duration(0);
     return unlikely;
   }
 
+  // An answer hardly takes longer.
+  Duration Unlikely(const Request& r) const {
+    const Spread& seen = classes_[r.cls].latency;
+    return Duration((seen.mean + kDeviations * seen.deviation) * WorkScale(r));
+  }
+
   double WorkScale(const Request& r) const {
     const double mean = classes_[r.cls].work.mean;
     const double ratio = mean > 0 ? r.work / mean : 1;
@@ -433,7 +417,6 @@
     }
     const Duration timeout = TimeoutFor(r, s);
     if (s.own_count == 0) s.quiet_since = now_;
-    ++in_flight_;
     s.own_work += r.work;
     ++s.own_count;
     if (WarmShare(s) < 1) s.sent.Add(now_, r.work);
@@ -442,6 +425,8 @@
     Attempt attempt;
     attempt.server = IndexOf(s);
     attempt.sent_at = now_;
+    attempt.overdue_at = classes_[r.cls].latency.samples < kYoung ? kNever : now_ + Unlikely(r);
+    awaited_.emplace(attempt.overdue_at, r.id, r.attempts.size());
     r.attempts.push_back(attempt);
     out_->push_back(Dispatch{r.id, s.entry.server, timeout});
   }
@@ -456,6 +441,7 @@
     a.outstanding = false;
     a.may_have_run =
         !(e.outcome == Outcome::kFull || e.outcome == Outcome::kConnectFailed || e.outcome == Outcome::kMoot);
+    awaited_.erase({a.overdue_at, r.id, e.attempt});
     Learn(r, e, servers_[a.server]);
     room_ = true;
     if (e.settled) r.finished = true;
@@ -472,7 +458,6 @@
   }
 
   void Learn(const Request& r, const AttemptEnded& e, Server& s) {
-    --in_flight_;
     s.own_work -= r.work;
     if (e.outcome != Outcome::kTimeout) s.quiet_since = now_;
     if (--s.own_count == 0) s.own_work = 0;
@@ -481,7 +466,9 @@
       return;
     outcomes_ = std::min(kYoung, outcomes_ + 1);
     if (ok) served_work_ += r.work, ++answered_;
-    const double took = e.took.count();
+    // A time-out says that an answer hardly comes any more, not how long one takes: answers that never came
+    // at a few percent of the attempts would otherwise stand for the pace of all.
+    const double took = std::min(e.took, ok ? e.took : Unlikely(r)).count();
     LearnZone(r, s, ok && now_ <= r.arrived + settings_.classes[r.cls].aim, ok);
     const bool timed = ok || e.outcome == Outcome::kTimeout;
     if (timed && std::isfinite(took) && took >= 0) {
@@ -529,15 +516,16 @@
   // Exception, when the whole fleet is slow: by Little's law requests in flight are those answered a ms times
   // their time; more in flight than kQueueShare of the aim at the rate of late could only queue, and more
   // than kCrowding times what requests take uncrowded makes some servers slower the more they hold: once
-  // there, a fleet stayed at a fifth of its rate for as long as the load lasted (incident i42a2e5). The rest
-  // is held here, the most worth first, and refused while a try later can still be of use. Counted, not
-  // weighed: one huge request must neither be shut out nor shut out all others.
+  // there, a fleet stayed at a fifth of its rate for as long as the load lasted (incident i42a2e5). Attempts
+  // whose answer is overdue don't count: what is never answered would take the place of what is. The rest is
+  // held here, the most worth first, and refused while a try later can still be of use. Counted, not weighed:
+  // one huge request must neither be shut out nor shut out all others.
   bool FitsProxy() const {
     const double least = std::max(Floor(), kLeastPerServer * listed_ / settings_.balancers);
     const double uncrowded = stretch_ > 0 ? stretch_ * request_work_.mean : mean_aim_.mean;
     const double useful = std::min(kQueueShare * mean_aim_.mean, kCrowding * uncrowded);
     const double mean = served_rate_ * useful;
-    return in_flight_ < std::max(least, mean + kChance * std::sqrt(mean));
+    return static_cast<double>(awaited_.size()) < std::max(least, mean + kChance * std::sqrt(mean));
   }
 
   // In flight at the least, which with many proxies bounds what servers hold: fewer, the more crowded they
@@ -786,6 +774,8 @@
       out_->push_back(Subscribe{});
       ask_at_ = now_ + settings_.must_ask_within / 2;  // an answer may never come
     }
+    for (; !awaited_.empty() && std::get<0>(*awaited_.begin()) <= now_; room_ = true)
+      awaited_.erase(awaited_.begin());
     while (!wakeups_.empty() && wakeups_.begin()->first <= now_) {
       const auto found = requests_.find(wakeups_.begin()->second);
       wakeups_.erase(wakeups_.begin());
@@ -841,6 +831,7 @@
 
   void Arm() {
     TimePoint at = std::min(ask_at_, held_.empty() ? kNever : sample_at_);
+    if (!held_.empty() && !awaited_.empty()) at = std::min(at, std::get<0>(*awaited_.begin()));
     if (!wakeups_.empty()) at = std::min(at, wakeups_.begin()->first);
     if (at >= armed_) return;
     armed_ = at;
@@ -881,7 +872,7 @@
   int stretch_votes_ = 0;
   double stretch_ = 0;  // time over work that large requests take at the least
   int samples_ = 0;
-  int in_flight_ = 0;                      // attempts
+  std::set<std::tuple<TimePoint, RequestId, std::size_t>> awaited_;  // attempts, by when an answer is overdue
   double answered_ = 0, served_rate_ = 0;  // answers since the last sample; answers a ms
   double served_work_ = 0, work_rate_ = 0, asked_work_ = 0, asked_rate_ = 0;  // the same of work
   int outcomes_ = 0;                                                          // attempts ended, to kYoung
--- a/src/measures.h
+++ b/src/measures.h
@@ -96,12 +96,36 @@
   std::deque<std::pair<TimePoint, std::uint64_t>> order_;
 };
 
+// ---- what is kept of servers ----------------------------------------------------------------------------
+// A50's counts of a server.
+struct Host {
+  int successes = 0, failures = 0, multiplier = 0;
+  bool ejected = false;
+  TimePoint return_at{};
+  int attempts() const { return successes + failures; }
+};
+
+struct Server {
+  ServerEntry entry;
+  TimePoint gone_since{};
+  int in_list = 0;      // the last complete list that named it
+  double own_work = 0;  // hinted, of this proxy, in flight
+  int own_count = 0;
+  Host health;
+  SentWindow sent;
+  TimePoint turn_since{};  // cold: the last send to it, or its start as told
+  double turn_phase = 1;   // part of the time between sends that has to pass
+  double slowness = 1;     // time of its answers over what the fleet takes for the like
+  TimePoint slowness_at{};
+  TimePoint quiet_since{};
+};
+
 // ---- what is kept of requests --------------------------------------------------------------------------
 using ServerIndex = std::size_t;  // of the dense list of servers
 
 struct Attempt {
   ServerIndex server = 0;
-  TimePoint sent_at{};
+  TimePoint sent_at{}, overdue_at{};
   bool outstanding = true;
   bool may_have_run = true;
 };
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -1100,6 +1100,45 @@
   EXPECT_EQ(out, 5u) << "0.05 a ms x 3 x 10 ms is less than 1.5 a server; a third of the aim would be 16";
 }
 
+// A few percent of the attempts were never answered: their time-outs, a hundred times what answers took, held
+// every place in flight while servers stood idle.
+TEST(Admission, WhatIsNeverAnsweredDoesNotHoldAPlaceForAll) {
+  Rig rig;
+  rig.Servers(3);
+  for (int i = 0; i < 200; ++i) {
+    AnswerOne(rig, Outcome::kOk, {});
+    rig.Tick(20);
+  }
+  RequestId last = 0;
+  do last = next_id++;
+  while (rig.Ask(last, 2, 10, 900).has_value());
+  rig.Tick(5);
+  EXPECT_FALSE(rig.SentTo(last).has_value()) << "the limit is reached, and no answer is overdue";
+  while (!rig.SentTo(last) && rig.Count<Refuse>() == 0) rig.Tick(5);
+  EXPECT_TRUE(rig.SentTo(last).has_value()) << "answers take 10 ms; those that are out have taken far longer";
+}
+
+// The same time-outs must not stand for the pace of the class, by which the next ones are overdue.
+TEST(Admission, TimeOutsOfAFewDoNotMakeAllLookSlow) {
+  Rig rig;
+  rig.Servers(3);
+  for (int i = 0; i < 400; ++i) {
+    const RequestId id = next_id++;
+    const auto s = rig.Ask(id, 2, 10, 900);
+    ASSERT_TRUE(s.has_value());
+    const bool lost = i % 25 == 24;
+    rig.End(id, 0, *s, lost ? Outcome::kTimeout : Outcome::kOk, lost ? 900 : 10);
+    rig.Tick(20);
+  }
+  RequestId last = 0;
+  do last = next_id++;
+  while (rig.Ask(last, 2, 10, 900).has_value());
+  double waited = 0;
+  while (!rig.SentTo(last) && rig.Count<Refuse>() == 0) rig.Tick(5), waited += 5;
+  EXPECT_TRUE(rig.SentTo(last).has_value());
+  EXPECT_LE(waited, 30) << "a few times the 10 ms that answers take";
+}
+
 TEST(Logs, FewLinesEachNamingServerAndReason) {
   Rig rig;
   std::vector<std::string> lines;
