Keep a timed-out attempt's parser until the read that uses it has ended

The last words of the node were "pure virtual method called". Its memory (1 of 32 MB), descriptors (202 of 256) and CPU were at ease, so no limit was met. The one abstract class whose objects are destroyed early is Beast's parser: Connection::Finish reset parser_ (and emptied request_) also on a time-out, while the http::async_read that works on it was under way. Closing the socket cancels a read that waits, but not one that has its bytes already: if the loop reaches the time-out and more of the answer in one round, the read goes on with a destroyed parser. A test that has both in one round crashes with the same words each time.

Ruled out: an exception (main catches and logs it), running out of descriptors, the clients' side (its parser is made anew only when no read is out).

At fault: request_ = {} and parser_.reset() in Connection::Finish. They now happen only when the connection is kept, that is when write and read are over; otherwise both go with the connection when its last operation has ended.

--- a/src/proxy/backends.cpp
+++ b/src/proxy/backends.cpp
@@ -160,10 +160,11 @@
     if (!done_) return;
     const auto self = shared_from_this();
     const AttemptDone done = std::exchange(done_, nullptr);
-    request_ = {};
-    parser_.reset();
     // Closed before anybody hears of the end: the next attempt must not find this one on an open connection.
+    // The request and the parser are then still in use by a write or read under way, and end with it.
     if (std::exchange(reusable_, false) && owner_) {
+      request_ = {};
+      parser_.reset();
       owner_->Keep(self);
     } else {
       Close();
--- /dev/null
+++ b/tests/backends_test.cpp
@@ -0,0 +1,114 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Attempts and their connections, step by step: the test is the backend, and runs the event loop itself.
+#include "backends.h"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <optional>
+#include <thread>
+
+#include "loopback.h"
+
+namespace brackenspoke::testing {
+namespace {
+
+using proxy::AttemptResult;
+using proxy::Backends;
+
+constexpr ServerId kServer = 7;
+
+struct Bench {
+  explicit Bench(Backends::Limits limits = {}) : backends(io, limits) {
+    backends.Set(kServer, acceptor.local_endpoint(), 0);
+  }
+
+  void Send(Duration timeout, std::size_t body = 0) {
+    HttpRequest request{http::verb::post, "/book", 11};
+    request.body().assign(body, 'x');
+    request.prepare_payload();
+    result.reset();
+    backends.Send(kServer, std::move(request), timeout,
+                  [this](AttemptResult ended) { result = std::move(ended); });
+  }
+  // The connection that the attempt opens; its request is read unless it is to wait.
+  Tcp::socket Accept() {
+    Tcp::socket socket(peers);
+    acceptor.accept(socket);
+    return socket;
+  }
+  void ReadRequest(Tcp::socket& socket) {
+    boost::beast::flat_buffer buffer;
+    http::request_parser<http::string_body> parser;
+    while (!parser.is_done()) {
+      RunOnce();
+      if (socket.available() > 0) http::read_some(socket, buffer, parser);
+    }
+  }
+  void RunOnce() {
+    io.restart();
+    io.poll();
+  }
+  void RunUntilResult() {
+    const auto until = std::chrono::steady_clock::now() + kGiveUp;
+    while (!result && std::chrono::steady_clock::now() < until) RunOnce();
+  }
+
+  asio::io_context io, peers;
+  Tcp::acceptor acceptor{peers, kAnyPort};
+  Backends backends;
+  std::optional<AttemptResult> result;
+};
+
+// The event loop gets to the time-out and to the rest of the answer in one round: the time-out first.
+TEST(Backends, AnAnswerThatArrivesAsItsAttemptTimesOutHasNowhereToGo) {
+  Bench bench;
+  bench.Send(Duration(500));
+  Tcp::socket peer = bench.Accept();
+  bench.ReadRequest(peer);
+  const auto due = std::chrono::steady_clock::now() + std::chrono::milliseconds(501);
+  // More than one read takes, so that a second one is under way when the time-out comes.
+  SendRaw(peer, "HTTP/1.1 200 OK\r\nContent-Length: 9000\r\n\r\n" + std::string(5000, 'x'));
+  std::this_thread::sleep_until(due);
+  bench.RunUntilResult();
+  ASSERT_TRUE(bench.result.has_value());
+  EXPECT_EQ(bench.result->outcome, Outcome::kTimeout);
+  EXPECT_EQ(bench.backends.connections(), 0u);
+  bench.RunOnce();
+}
+
+TEST(Backends, ATimeOutInTheMiddleOfARequestNeverRan) {
+  Bench bench;
+  bench.Send(Duration(50), 32 * 1024 * 1024);
+  Tcp::socket peer = bench.Accept();
+  bench.RunUntilResult();
+  ASSERT_TRUE(bench.result.has_value());
+  EXPECT_EQ(bench.result->outcome, Outcome::kConnectFailed);
+  EXPECT_EQ(bench.backends.connections(), 0u);
+  bench.RunOnce();
+}
+
+TEST(Backends, AnAnswerInPiecesIsWholeAndItsConnectionIsUsedAgain) {
+  Bench bench;
+  bench.Send(Duration(30000));
+  Tcp::socket peer = bench.Accept();
+  for (int round = 0; round < 2; ++round) {
+    bench.ReadRequest(peer);
+    const std::string answer = OkAnswer(std::string(3000, 'x'));
+    for (std::size_t at = 0; at < answer.size(); at += 700) {
+      EXPECT_FALSE(bench.result.has_value());
+      SendRaw(peer, answer.substr(at, 700));
+      bench.RunOnce();
+    }
+    bench.RunUntilResult();
+    ASSERT_TRUE(bench.result.has_value());
+    EXPECT_EQ(bench.result->outcome, Outcome::kOk);
+    EXPECT_EQ(bench.result->response.body().size(), 3000u);
+    if (round == 0) bench.Send(Duration(30000));
+  }
+  EXPECT_EQ(bench.backends.opened(), 1u);
+}
+
+}  // namespace
+}  // namespace brackenspoke::testing
