Follow discovery to the address that the configuration names at SIGHUP

Evidence is the program itself: nothing handled the signal, so its default action ended the process (the test sees it end without the change), and no code moved the watch.

The program now reads the file's discovery again, past the environment, which is as old as the process, and moves the watch at once: from the last revision applied, with no wait that was earned at the old address. A file that cannot be read is logged and changes nothing.

--- a/src/proxy/config.cpp
+++ b/src/proxy/config.cpp
@@ -109,13 +109,21 @@
   return config;
 }
 
-}  // namespace
+std::string ReadFile(const Environment& env) {
+  const char* path = env("ROUTER_CONFIG");
+  if (!path || !*path) throw BadConfig("ROUTER_CONFIG is not set");
+  std::ifstream file(path, std::ios::binary);
+  if (!file) throw BadConfig("cannot read ROUTER_CONFIG: " + std::string(path));
+  return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+}
 
-Config ParseConfig(std::string_view text, const Environment& env) {
+// What `read` makes of the configuration; BadConfig if it cannot.
+template <typename ReadRoot>
+auto Parsed(std::string_view text, ReadRoot read) {
   const json root = json::parse(text, nullptr, /*allow_exceptions=*/false);
   if (!root.is_object()) throw BadConfig("the configuration is no JSON object");
   try {
-    return Read(root, env);
+    return read(root);
   } catch (const adapter::BadSettings& error) {
     throw BadConfig(error.what());
   } catch (const json::exception& error) {
@@ -123,13 +131,16 @@
   }
 }
 
-Config LoadConfig(const Environment& env) {
-  const char* path = env("ROUTER_CONFIG");
-  if (!path || !*path) throw BadConfig("ROUTER_CONFIG is not set");
-  std::ifstream file(path, std::ios::binary);
-  if (!file) throw BadConfig("cannot read ROUTER_CONFIG: " + std::string(path));
-  const std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
-  return ParseConfig(text, env);
+}  // namespace
+
+Config ParseConfig(std::string_view text, const Environment& env) {
+  return Parsed(text, [&](const json& root) { return Read(root, env); });
+}
+
+Config LoadConfig(const Environment& env) { return ParseConfig(ReadFile(env), env); }
+
+Tcp::endpoint ReloadDiscovery(const Environment& env) {
+  return Parsed(ReadFile(env), [](const json& root) { return Address(nullptr, root, "discovery"); });
 }
 
 }  // namespace brackenspoke::proxy
--- a/src/proxy/config.h
+++ b/src/proxy/config.h
@@ -42,6 +42,10 @@
 // Reads the file that ROUTER_CONFIG names.
 Config LoadConfig(const Environment& env);
 
+// Where discovery is by the file that ROUTER_CONFIG names now: what the environment says is
+// as old as the process.
+boost::asio::ip::tcp::endpoint ReloadDiscovery(const Environment& env);
+
 }  // namespace brackenspoke::proxy
 
 #endif  // BRACKENSPOKE_PROXY_CONFIG_H_
--- a/src/proxy/discovery.cpp
+++ b/src/proxy/discovery.cpp
@@ -140,6 +140,13 @@
   stream_->Start();
 }
 
+void Discovery::MoveTo(const asio::ip::tcp::endpoint& address) {
+  if (address == options_.address) return;
+  options_.address = address;
+  backoff_ = std::chrono::milliseconds(0);  // earned at the old one
+  Watch();
+}
+
 bool Discovery::OnLine(std::string_view line) {
   if (line.find_first_not_of(" \r\t") == std::string_view::npos) return true;
   std::string why;
--- a/src/proxy/discovery.h
+++ b/src/proxy/discovery.h
@@ -38,6 +38,9 @@
   // Begins a watch from the last revision applied, in place of one that is open.
   void Watch();
 
+  // Discovery has moved: the watch goes on at the new address.
+  void MoveTo(const boost::asio::ip::tcp::endpoint& address);
+
  private:
   class Stream;
   friend class Stream;
--- a/src/proxy/main.cpp
+++ b/src/proxy/main.cpp
@@ -11,6 +11,21 @@
 
 namespace {
 
+const char* Env(const char* name) { return std::getenv(name); }
+
+// The platform has replaced the configuration file. One that cannot be read changes nothing.
+void FollowDiscovery(boost::asio::signal_set& hangups, brackenspoke::proxy::Proxy& proxy) {
+  hangups.async_wait([&](const boost::system::error_code& failed, int) {
+    if (failed) return;
+    FollowDiscovery(hangups, proxy);
+    try {
+      proxy.MoveDiscovery(brackenspoke::proxy::ReloadDiscovery(Env));
+    } catch (const brackenspoke::proxy::BadConfig& error) {
+      std::fprintf(stderr, "kestrelline: not reloaded: %s\n", error.what());
+    }
+  });
+}
+
 // A fault in one handler costs what that handler was about, not the proxy.
 void Run(boost::asio::io_context& io) {
   for (;;) {
@@ -29,9 +44,9 @@
   std::setvbuf(stderr, nullptr, _IOLBF, 0);
   try {
     boost::asio::io_context io(1);
-    brackenspoke::proxy::Proxy proxy(io, brackenspoke::proxy::LoadConfig([](const char* name) -> const char* {
-                                       return std::getenv(name);
-                                     }));
+    boost::asio::signal_set hangups(io, SIGHUP);  // from here on it does not end the process
+    brackenspoke::proxy::Proxy proxy(io, brackenspoke::proxy::LoadConfig(Env));
+    FollowDiscovery(hangups, proxy);
     boost::asio::signal_set signals(io, SIGTERM, SIGINT);
     signals.async_wait([&](const boost::system::error_code& failed, int) {
       if (!failed) proxy.Stop([&] { io.stop(); });
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -31,6 +31,9 @@
   Proxy(boost::asio::io_context& io, Config config);
   ~Proxy() override;
 
+  // Follows discovery to another address. Everything else of a configuration needs a new start.
+  void MoveDiscovery(const boost::asio::ip::tcp::endpoint& address) { discovery_->MoveTo(address); }
+
   // Serves what comes for a while yet; `done` is called when nothing is held any more.
   void Stop(std::function<void()> done);
 
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -48,6 +48,12 @@
     waitpid(std::exchange(pid_, -1), &status, 0);
     return WIFEXITED(status) ? WEXITSTATUS(status) : 1000 + WTERMSIG(status);
   }
+  // The next line that it writes.
+  std::string Line() {
+    std::string line;
+    for (char c; read(stderr_, &c, 1) == 1 && c != '\n';) line += c;
+    return line;
+  }
   std::string Stderr() {
     std::string text;
     char piece[4096];
@@ -67,8 +73,9 @@
     char name[] = "/tmp/kestrelline-test-XXXXXX";
     close(mkstemp(name));
     path = name;
-    std::ofstream(path) << text;
+    Write(text);
   }
+  void Write(const std::string& text) const { std::ofstream(path) << text; }
   ~ConfigFile() { std::filesystem::remove(path); }
   std::string path;
 };
@@ -152,6 +159,37 @@
   }
 }
 
+// The environment still names the old address, as the platform's own variable does.
+TEST(Process, FollowsDiscoveryAtSighupAndOutlivesAFileThatItCannotRead) {
+  Backend backend, moved("moved");
+  FakeDiscovery before, after;
+  const auto config = [&](const Tcp::endpoint& discovery) {
+    return ConfigJson(discovery, Members(MemberJson("s-1", backend.address()))).dump();
+  };
+  const ConfigFile file(config(before.address()));
+  const auto address = FreePort();
+  Child child({{"ROUTER_CONFIG", file.path},
+               {"ROUTER_LISTEN", "127.0.0.1:" + std::to_string(address.port())},
+               {"ROUTER_DISCOVERY", "127.0.0.1:" + std::to_string(before.address().port())}});
+  ASSERT_TRUE(WaitUntilReady(address));
+  ASSERT_TRUE(before.WaitForWatches(1));
+  file.Write("{\"discovery\":");
+  child.Signal(SIGHUP);
+  EXPECT_EQ(child.Line(), "kestrelline: not reloaded: the configuration is no JSON object");
+  file.Write(config(after.address()));
+  child.Signal(SIGHUP);
+  ASSERT_TRUE(after.WaitForWatches(1));
+  after.Push(ListJson(42, true, Members(MemberJson("s-2", moved.address()))));
+  Client client(address);
+  const auto until = std::chrono::steady_clock::now() + kGiveUp;
+  while (client.Ask(Look()).body() != "moved" && std::chrono::steady_clock::now() < until) {
+  }
+  EXPECT_EQ(client.Ask(Look()).body(), "moved");
+  EXPECT_EQ(before.seen.Get().watches.size(), 1u) << "the old address is left alone";
+  child.Signal(SIGTERM);
+  EXPECT_EQ(child.Wait(), 0);
+}
+
 TEST(Process, OutlivesRunningOutOfDescriptors) {
   Backend backend;
   FakeDiscovery discovery;
