Turn away requests whose headers say two things or hide what must go on

Read from the code: Understand went by the first of two Req-Id or Req-Kind lines and passed both on, took the class from the header alone, so that a path of an unsafe class could travel under a safe one's retries, dropped a Req-Id that Connection named only after it had been checked, served a request without Host, and stripped a transfer coding that it had not decoded.

Each is now a plain 4xx, or 501 for the coding. The new cases of BadRequestsGetAPlain4xxAndTheProxyLivesOn are served or wrongly answered without the change.

--- a/src/proxy/clients.cpp
+++ b/src/proxy/clients.cpp
@@ -84,14 +84,22 @@
 std::optional<Complaint> Understand(HttpRequest message, Steady::time_point read_at, const Config& config,
                                     ClientRequest* request) {
   const auto bad = [](const char* what) { return Complaint{http::status::bad_request, what}; };
-  const auto kind = message.find("Req-Kind");
-  request->request_class = IndexOf(
-      config.classes, kind != message.end() ? View(kind->value()) : FirstOfPath(View(message.target())));
+  if (message.chunked() && !boost::beast::iequals(message[http::field::transfer_encoding], "chunked"))
+    return Complaint{http::status::not_implemented, "unknown Transfer-Encoding"};
+  EraseHopByHop(message);  // first: what concerns the connection alone says nothing of the request
+  for (const char* once : {"Host", "Req-Id", "Req-Kind", "Req-Owner", "Req-Deadline-Ms", "Req-Cost"})
+    if (message.count(once) > 1) return bad("a header that may come once came twice");
+  const std::string_view kind = FirstOfPath(View(message.target()));
+  request->request_class = IndexOf(config.classes, kind);
   if (request->request_class < 0) return Complaint{http::status::not_found, "unknown class"};
   const ClassSettings& c = config.settings.classes[request->request_class];
   const http::verb method = c.effect == Effect::kSafe ? http::verb::get : http::verb::post;
   if (message.method() != method) return Complaint{http::status::method_not_allowed, "wrong method"};
+  if (message[http::field::host].empty()) return bad("Host is missing");
   if (message["Req-Id"].empty()) return bad("Req-Id is missing");
+  if (const auto named = message.find("Req-Kind"); named != message.end() && View(named->value()) != kind)
+    return bad("Req-Kind and the path name two classes");
+  if (c.effect == Effect::kSafe && !message.body().empty()) return bad("a body where none belongs");
   if (c.effect == Effect::kKeyed && message["Idempotency-Key"].empty())
     return bad("Idempotency-Key is missing");
 
@@ -115,7 +123,6 @@
   request->client_retry = message["Req-Retry"] == "1";
   request->key = KeyOf(message[http::field::cookie]);
 
-  EraseHopByHop(message);
   message.version(11);
   message.prepare_payload();
   request->message = std::move(message);
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -465,6 +465,17 @@
       {Look("X: " + std::string(20000, 'h') + "\r\n"), 431},
       {Post("book", "", std::string(64 * 1024 + 1, 'b')), 413},
       {"POST /book HTTP/1.1\r\nReq-Id: 1\r\nContent-Length: minus\r\n\r\n", 400},
+      {"GET /look HTTP/1.1\r\nReq-Id: 1\r\nReq-Kind: look\r\n\r\n", 400},
+      {Look("Host: elsewhere\r\n"), 400},
+      {Look("Req-Id: 0c\r\n"), 400},
+      {Look("Connection: Req-Id\r\n"), 400},
+      {Look("Content-Length: 4\r\n") + "body", 400},
+      {"GET /look HTTP/1.1\r\nHost: x\r\nReq-Id: 1\r\nReq-Kind: change\r\n\r\n", 400},
+      {"POST /book HTTP/1.1\r\nHost: x\r\nReq-Id: 1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+       501},
+      {"POST /book HTTP/1.1\r\nHost: x\r\nReq-Id: 1\r\nContent-Length: 5\r\n"
+       "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+       400},
   };
   for (const auto& [bytes, status] : cases) {
     Client client(site.proxy->address);
@@ -541,6 +552,7 @@
                                  {{"name", "bolt"}, {"quotaPerS", 5.0}}};
   const auto config = ConfigOf(json);
   HttpRequest message{http::verb::get, "/look", 11};
+  message.set("Host", "service.internal");
   message.set("Req-Id", "1");
   message.set("Req-Owner", "bolt");
   message.set("Req-Cost", "2500");
