Read on after an interim answer instead of taking it for the answer

A 1xx from a stand server comes before the answer proper; any HTTP/1.1 client has to read past it. Connection::Read took a 100 or 103 for a failed attempt that may have run and closed the connection on the 200 that followed, which for an unsafe class is a failed request. It now reads on until the answer proper; the attempt's time-out still holds, and an interim answer with nothing after it is a reset. 101 answers no request of ours and stays an error.

--- a/src/proxy/backends.cpp
+++ b/src/proxy/backends.cpp
@@ -35,6 +35,11 @@
   return Outcome::kError;
 }
 
+// The answer proper is still to come. Nothing asks for a switch of protocols: that would be the answer.
+bool Interim(const HttpResponse& response) {
+  return response.result_int() < 200 && response.result() != http::status::switching_protocols;
+}
+
 }  // namespace
 
 // One connection and the attempt on it, if any. Once closed it is never used again, so that an answer which
@@ -147,10 +152,9 @@
                        // An answer that only the connection's end delimits cannot be told from one cut short.
                        if (failed || (self->parser_->need_eof() && !self->parser_->chunked()))
                          return self->Finish(Outcome::kReset);
+                       if (Interim(self->parser_->get())) return self->Read();
                        self->reusable_ = self->parser_->keep_alive() && self->buffer_.size() == 0;
                        HttpResponse response = self->parser_->release();
-                       if (response.result_int() < 200)
-                         self->reusable_ = false;  // the answer proper is still to come
                        const Outcome outcome = OutcomeOf(response);
                        self->Finish(outcome, std::move(response));
                      });
--- a/tests/backends_test.cpp
+++ b/tests/backends_test.cpp
@@ -110,5 +110,40 @@
   EXPECT_EQ(bench.backends.opened(), 1u);
 }
 
+TEST(Backends, TheAnswerProperComesAfterInterimOnes) {
+  Bench bench;
+  bench.Send(Duration(30000));
+  Tcp::socket peer = bench.Accept();
+  bench.ReadRequest(peer);
+  SendRaw(peer, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 O");
+  bench.RunOnce();
+  EXPECT_FALSE(bench.result.has_value());
+  SendRaw(peer, "K\r\nContent-Length: 2\r\n\r\nOK");
+  bench.RunUntilResult();
+  ASSERT_TRUE(bench.result.has_value());
+  EXPECT_EQ(bench.result->outcome, Outcome::kOk);
+  EXPECT_EQ(bench.result->response.body(), "OK");
+  bench.Send(Duration(30000));
+  bench.ReadRequest(peer);
+  SendRaw(peer, "HTTP/1.1 101 Switching Protocols\r\n\r\n");
+  bench.RunUntilResult();
+  ASSERT_TRUE(bench.result.has_value());
+  EXPECT_NE(bench.result->outcome, Outcome::kOk);
+  EXPECT_EQ(bench.backends.opened(), 1u);
+}
+
+TEST(Backends, AnInterimAnswerAloneIsNone) {
+  Bench bench;
+  bench.Send(Duration(30000));
+  {
+    Tcp::socket peer = bench.Accept();
+    bench.ReadRequest(peer);
+    SendRaw(peer, "HTTP/1.1 103 Early Hints\r\n\r\n");
+  }
+  bench.RunUntilResult();
+  ASSERT_TRUE(bench.result.has_value());
+  EXPECT_EQ(bench.result->outcome, Outcome::kReset);
+}
+
 }  // namespace
 }  // namespace brackenspoke::testing
