Do not blame a server for this proxy's own connection limit

With the pool full of attempts, or no descriptor left, Backends reported that the server could not be connected to. The module counted that as the server's failure, so that a proxy at its own limit ejected healthy servers and sent their share to the rest. Nothing was sent: the outcome is now moot, which the module keeps out of its counts, and the request may go elsewhere or be refused as before.

--- a/src/proxy/backends.cpp
+++ b/src/proxy/backends.cpp
@@ -55,9 +55,9 @@
 
   void Open(const Tcp::endpoint& address, Duration connect_timeout) {
     Error error;
-    socket_.open(address.protocol(), error);  // out of descriptors: an attempt that could not connect
+    socket_.open(address.protocol(), error);
     if (!error) socket_.set_option(Tcp::no_delay(true), error);
-    if (error) return FinishSoon(Outcome::kConnectFailed);
+    if (error) return FinishSoon(Outcome::kMoot);  // out of descriptors
     SetTimer(std::min(deadline_, Steady::now() + ToSteady(connect_timeout)));
     socket_.async_connect(address, [self = shared_from_this()](const Error& failed) {
       if (!self->done_) return;
@@ -242,9 +242,10 @@
   live_.emplace(connection.get(), connection);
   ++open_;
   connection->Assign(std::move(request), timeout, std::move(done));
-  // A backend that never had an address, or a pool that is full of attempts: it could not connect.
-  if (backend.address.port() == 0 || (open_ > limits_.connections && !CloseOldestIdle()))
-    return connection->FinishSoon(Outcome::kConnectFailed);
+  // It never had an address.
+  if (backend.address.port() == 0) return connection->FinishSoon(Outcome::kConnectFailed);
+  // A limit of this proxy's own says nothing of the backend: the attempt was never made.
+  if (open_ > limits_.connections && !CloseOldestIdle()) return connection->FinishSoon(Outcome::kMoot);
   ++opened_;
   connection->Open(backend.address, limits_.connect_timeout);
 }
--- a/tests/backends_test.cpp
+++ b/tests/backends_test.cpp
@@ -145,5 +145,40 @@
   EXPECT_EQ(bench.result->outcome, Outcome::kReset);
 }
 
+TEST(Backends, APoolThatIsFullIsNoFailureOfTheBackend) {
+  Backends::Limits limits;
+  limits.connections = 1;
+  Bench bench(limits);
+  std::optional<AttemptResult> first;
+  bench.backends.Send(kServer, HttpRequest{http::verb::get, "/look", 11}, Duration(30000),
+                      [&](AttemptResult ended) { first = std::move(ended); });
+  bench.Send(Duration(30000));
+  bench.RunUntilResult();
+  ASSERT_TRUE(bench.result.has_value());
+  EXPECT_EQ(bench.result->outcome, Outcome::kMoot);
+  EXPECT_FALSE(first.has_value());
+  // The first goes on, and once it is idle it makes room.
+  Tcp::socket peer = bench.Accept();
+  bench.ReadRequest(peer);
+  SendRaw(peer, OkAnswer("served"));
+  const auto until = std::chrono::steady_clock::now() + kGiveUp;
+  while (!first && std::chrono::steady_clock::now() < until) bench.RunOnce();
+  ASSERT_TRUE(first.has_value());
+  EXPECT_EQ(first->outcome, Outcome::kOk);
+  Tcp::acceptor elsewhere(bench.peers, kAnyPort);
+  bench.backends.Set(kServer + 1, elsewhere.local_endpoint(), 0);
+  bench.result.reset();
+  bench.backends.Send(kServer + 1, HttpRequest{http::verb::get, "/look", 11}, Duration(30000),
+                      [&](AttemptResult ended) { bench.result = std::move(ended); });
+  Tcp::socket other(bench.peers);
+  elsewhere.accept(other);
+  bench.ReadRequest(other);
+  SendRaw(other, OkAnswer("served"));
+  bench.RunUntilResult();
+  ASSERT_TRUE(bench.result.has_value());
+  EXPECT_EQ(bench.result->outcome, Outcome::kOk);
+  EXPECT_EQ(bench.backends.connections(), 1u);
+}
+
 }  // namespace
 }  // namespace brackenspoke::testing
