Eject no server for failures that chance explains where all fail now and then

Evidence. 7 of 100 attempts end as a reset, 0.1 ms after their last byte went out (807 of 989 unreadable answers logged), evenly over servers, new and used connections: connections break on the way. The log ejects servers for "2 of 3" and "2 of 4 attempts failed", and the count in service falls from 12 to 6 and stays there; answer times rise threefold at the six that are left, and with them the limit of admission falls.

At fault: OutlierDetector::Record took three attempts for proof ("3 of 3 failing is no chance"), but tests a share of over 0.4 after each answer: at 8 percent everywhere two of three come by chance somewhere in each interval. A server now goes only if chance alone, by the share failing elsewhere in this interval and the one before, would bring as many failures less often than once in a thousand. Where the others do not fail, two of three are as good as ever.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -26,6 +26,7 @@
 constexpr int kRequestVolume = 3;  // a proxy sees few requests a server; 3 of 3 failing is no chance
 constexpr Duration kLongestInterval{10000};  // A50's own; where traffic is thin counts have to be kept longer
 constexpr double kByChance = 0.01;      // thin traffic: failures that come together less often are no chance
+constexpr double kCoincidence = 0.001;  // a server's failures that chance brings more often do not eject it
 constexpr double kPriorFailures = 0.1;  // seen elsewhere before anything is
 constexpr int kMinimumHosts = 2;        // servers to compare with each other
 constexpr double kThreshold = 0.4;      // failure share; well over what noise and overlap produce
@@ -90,6 +91,7 @@
     int hosts = 0, ejected = 0;  // listed as ready; of these out of service
     // Since the interval began; the last two of hosts in service.
     int qualifying = 0, failures = 0, attempts = 0;
+    int failures_before = 0, attempts_before = 0;  // in the interval before
     Duration interval{kInterval};
     bool thin = false;  // traffic does not bring the volume to each host within kInterval
   };
@@ -109,6 +111,10 @@
     const double threshold = std::max(kThreshold, elsewhere * (2 - elsewhere));
     if (host.attempts() < Volume(fleet, others_failed, others)) return false;
     if (!(host.failures > threshold * host.attempts())) return false;
+    // Failures that come at a few percent everywhere, as when connections break on the way, are two of three
+    // somewhere in every interval, and took half of a healthy fleet out.
+    const double usual = Usual(fleet, others_failed, others);
+    if (AtLeast(host.failures, host.attempts(), usual) > kCoincidence) return false;
     if (!(100.0 * fleet.ejected < kMaxEjectionPercent * fleet.hosts)) return false;
     if (!(100.0 * random.Unit() < kEnforcingPercent)) return false;
     ++host.multiplier;
@@ -122,6 +128,12 @@
     return true;
   }
 
+  // The share that fails at any server, going by this interval elsewhere and the one before.
+  static double Usual(const Fleet& fleet, int others_failed, int others) {
+    return std::min(
+        1.0, (others_failed + fleet.failures_before + kPriorFailures) / (others + fleet.attempts_before + 1));
+  }
+
   // Exception, where traffic is thin: the volume floor is never met there, so it falls to as many attempts as
   // could hardly all fail by chance, going by the share that fails elsewhere. Proxies learn of a failure one
   // by one then, and return times are spread so that they do not come back to the server in step.
@@ -766,7 +778,9 @@
     if (now_ >= next_return_) ReturnServers();
     if (now_ >= interval_end_) {
       interval_end_ = now_ + fleet_.interval;
-      fleet_.qualifying = fleet_.failures = fleet_.attempts = 0;
+      fleet_.failures_before = std::exchange(fleet_.failures, 0);
+      fleet_.attempts_before = std::exchange(fleet_.attempts, 0);
+      fleet_.qualifying = 0;
       for (Server& s : servers_) OutlierDetector::EndInterval(s.health);
     }
     if (now_ >= sample_at_) Sample();
--- a/src/measures.h
+++ b/src/measures.h
@@ -36,6 +36,16 @@
   return x ^ (x >> 16);
 }
 
+// The probability of `k` or more of `n`, each of them with probability `p`.
+inline double AtLeast(int k, int n, double p) {
+  double sum = 0;
+  for (; k <= n; ++k) {
+    const double ways = std::lgamma(n + 1) - std::lgamma(k + 1) - std::lgamma(n - k + 1);
+    sum += std::exp(ways) * std::pow(p, k) * std::pow(1 - p, n - k);
+  }
+  return sum;
+}
+
 // Mean and mean deviation, exponentially weighted.
 struct Spread {
   double mean = 0, deviation = 0;
