Listen for operators on a second address, and drain clients at their call

The drain is a state of the client side that SIGTERM shares: /ready says no, answers close their connections, what has stood idle for 2 s is closed. REJOIN takes it back.

--- a/src/proxy/clients.cpp
+++ b/src/proxy/clients.cpp
@@ -35,6 +35,9 @@
 constexpr std::chrono::milliseconds kPause{50};      // after a failed accept
 constexpr std::chrono::milliseconds kHalfRead{500};  // at the stop, for the rest of a request to come
 constexpr std::chrono::milliseconds kLookAgain{10};
+// In a drain: what has stood idle for so long may be closed, and this often it is looked for.
+constexpr std::chrono::seconds kIdleLongEnough{2};
+constexpr std::chrono::milliseconds kSweep{100};
 constexpr double kMostDeadlineMs = 3600 * 1000;
 constexpr double kMostCostUs = 1e12;
 constexpr const char* kText = "text/plain";
@@ -147,6 +150,7 @@
     return state_ == State::kReading && buffer_.size() == 0 && !parser_->got_some() &&
            stream_.socket().available(error) == 0;
   }
+  bool IdleSince(Steady::time_point before) { return quiet_since_ <= before && Idle(); }
   bool Reading() const { return state_ == State::kReading; }
   bool Holds() const { return state_ == State::kHeld; }
   // Owes an answer, or the rest of one.
@@ -200,6 +204,7 @@
 
   void Read() {
     state_ = State::kReading;
+    quiet_since_ = Steady::now();
     parser_.emplace();
     parser_->header_limit(kMostHeader);
     parser_->body_limit(kMostBody);
@@ -260,7 +265,7 @@
     HttpRequest message = parser_->release();
     last_ = !message.keep_alive();
     if (message.method() == http::verb::get && message.target() == "/ready") {
-      const bool ready = owner_->handler_.Ready() && !owner_->stopping_;
+      const bool ready = owner_->handler_.Ready() && !owner_->draining_;
       return Write(ready ? Plain(http::status::ok, "ready\n")
                          : Plain(http::status::service_unavailable, "not ready\n"));
     }
@@ -294,7 +299,7 @@
   void Write(HttpResponse response) {
     state_ = State::kWriting;
     response_ = std::move(response);
-    last_ |= owner_->stopping_;
+    last_ |= owner_->draining_;
     response_.keep_alive(!last_);
     response_.prepare_payload();
     Error ignored;
@@ -336,6 +341,7 @@
   HttpResponse response_;
   RequestId request_ = 0;
   std::size_t drained_ = 0;
+  Steady::time_point quiet_since_{};  // no request has been here since then, where it is idle
   State state_ = State::kReading;
   bool fresh_ = true;  // nothing has been read yet
   bool last_ = false;  // the connection closes after this answer
@@ -350,6 +356,7 @@
       handler_(handler),
       acceptor_(io),
       pause_(io),
+      sweep_(io),
       grace_(io) {
   acceptor_.open(config.listen.protocol());
   acceptor_.set_option(Tcp::acceptor::reuse_address(true));  // restarts come on the same address
@@ -405,9 +412,32 @@
   if (waiting_for_room_) Accept();
 }
 
-void Clients::Stop(Duration grace, std::function<void()> done) {
+void Clients::Drain() {
+  if (!std::exchange(draining_, true)) CloseIdleLater();
+}
+
+void Clients::Rejoin() {
   if (stopping_) return;
-  stopping_ = true;
+  draining_ = false;
+  sweep_.cancel();
+}
+
+void Clients::CloseIdleLater() {
+  sweep_.expires_after(kSweep);
+  sweep_.async_wait([this](const Error& cancelled) {
+    if (cancelled || !draining_) return;
+    const auto before = Steady::now() - kIdleLongEnough;
+    for (auto it = sessions_.begin(); it != sessions_.end();) {
+      const auto session = *it++;
+      if (session->IdleSince(before)) session->Close();
+    }
+    CloseIdleLater();
+  });
+}
+
+void Clients::Stop(Duration grace, std::function<void()> done) {
+  if (std::exchange(stopping_, true)) return;
+  Drain();
   stopped_ = std::move(done);
   grace_.expires_after(std::chrono::ceil<Steady::duration>(grace));
   grace_.async_wait([this](const Error& cancelled) {
--- a/src/proxy/clients.h
+++ b/src/proxy/clients.h
@@ -68,9 +68,16 @@
   Clients(const Clients&) = delete;
   Clients& operator=(const Clients&) = delete;
 
-  // From now on each connection closes after its answer; new ones are still served. After the grace,
-  // nothing is accepted any more, and `done` is called when no connection is left.
+  // From now on /ready says no and each connection closes after its answer; new ones are still served. What
+  // stands idle is closed once it has done so for long enough.
+  void Drain();
+  // Takes a drain back.
+  void Rejoin();
+  // A drain for good: after the grace nothing is accepted any more, and `done` is called when no answer is
+  // owed.
   void Stop(Duration grace, std::function<void()> done);
+  bool Draining() const { return draining_; }
+  bool Stopping() const { return stopping_; }
 
   boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
   std::size_t connections() const { return sessions_.size(); }
@@ -83,6 +90,7 @@
   void AcceptLater();
   bool MakeRoom();
   void Remove(Session* session);
+  void CloseIdleLater();
   void Shut();
 
   boost::asio::io_context& io_;
@@ -90,9 +98,9 @@
   std::size_t most_connections_;
   RequestHandler& handler_;
   boost::asio::ip::tcp::acceptor acceptor_;
-  boost::asio::steady_timer pause_, grace_;
+  boost::asio::steady_timer pause_, sweep_, grace_;
   std::list<std::shared_ptr<Session>> sessions_;  // the longest unused first
-  bool waiting_for_room_ = false, stopping_ = false, shut_ = false;
+  bool waiting_for_room_ = false, draining_ = false, stopping_ = false, shut_ = false;
   std::function<void()> stopped_;
   Steady::time_point half_read_until_{};
 };
--- a/src/proxy/config.cpp
+++ b/src/proxy/config.cpp
@@ -51,6 +51,11 @@
   return *endpoint;
 }
 
+std::optional<Tcp::endpoint> OptionalAddress(const char* from_env, const json& root, const char* name) {
+  if ((!from_env || !*from_env) && !root.contains(name)) return std::nullopt;
+  return Address(from_env, root, name);
+}
+
 std::vector<std::string> Strings(const json& settings, const char* name) {
   std::vector<std::string> all;
   const auto found = settings.find(name);
@@ -77,6 +82,7 @@
   config.name = name && *name ? name : root.value("name", "");
   config.listen = Address(env("ROUTER_LISTEN"), root, "listen");
   config.discovery = Address(env("ROUTER_DISCOVERY"), root, "discovery");
+  config.operators = OptionalAddress(env("ROUTER_OPS"), root, "ops");
   config.seed = SeedOf(root);
   if (const auto limits = root.find("limits"); limits != root.end())
     config.sockets = limits->value("sockets", config.sockets);
--- a/src/proxy/config.h
+++ b/src/proxy/config.h
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -26,6 +27,7 @@
 struct Config {
   std::string name;
   boost::asio::ip::tcp::endpoint listen, discovery;
+  std::optional<boost::asio::ip::tcp::endpoint> operators;  // where operators call, if they do
   std::uint64_t seed = 0;
   int sockets = 1024;  // descriptors that the process may hold
   Settings settings;
--- /dev/null
+++ b/src/proxy/descriptor.h
@@ -0,0 +1,38 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// A file descriptor and its owner.
+#ifndef BRACKENSPOKE_PROXY_DESCRIPTOR_H_
+#define BRACKENSPOKE_PROXY_DESCRIPTOR_H_
+
+#include <unistd.h>
+
+#include <utility>
+
+namespace brackenspoke::proxy {
+
+class Descriptor {
+ public:
+  Descriptor() = default;
+  explicit Descriptor(int fd) : fd_(fd) {}
+  ~Descriptor() { Close(); }
+  Descriptor(Descriptor&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
+  Descriptor& operator=(Descriptor&& other) noexcept {
+    if (this != &other) Close(), fd_ = std::exchange(other.fd_, -1);
+    return *this;
+  }
+
+  explicit operator bool() const { return fd_ >= 0; }
+  int get() const { return fd_; }
+
+ private:
+  void Close() {
+    if (fd_ >= 0) ::close(fd_);
+    fd_ = -1;
+  }
+
+  int fd_ = -1;
+};
+
+}  // namespace brackenspoke::proxy
+
+#endif  // BRACKENSPOKE_PROXY_DESCRIPTOR_H_
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -53,12 +53,41 @@
   listed_ = !config_.known.members.empty();
   if (!config_.settings.must_ask_for_list) discovery_->Watch();
   clients_ = std::make_unique<Clients>(io, config_, ClientLimit(config_), *this);
+  if (config_.operators) operators_ = std::make_unique<Operators>(io, *config_.operators, *this);
 }
 
 Proxy::~Proxy() = default;
 
 void Proxy::Stop(std::function<void()> done) { clients_->Stop(kStopGrace, std::move(done)); }
 
+void Proxy::OnCall(const OperatorCall& call, OnReply reply) {
+  switch (call.verb) {
+    case OperatorCall::Verb::kPing:
+      return reply(Ping());
+    case OperatorCall::Verb::kLameduck:
+      clients_->Drain();
+      return reply({true, "draining"});
+    case OperatorCall::Verb::kRejoin:
+      return reply(Rejoin());
+    case OperatorCall::Verb::kDetach:
+    case OperatorCall::Verb::kAttach:
+      return reply({false, "unknown call"});
+  }
+}
+
+OperatorReply Proxy::Ping() const {
+  if (clients_->Stopping()) return {false, "stopping"};
+  if (clients_->Draining()) return {false, "draining"};
+  if (!listed_) return {false, "no server known yet"};
+  return {true, "taking clients"};
+}
+
+OperatorReply Proxy::Rejoin() {
+  if (clients_->Stopping()) return {false, "stopping"};
+  clients_->Rejoin();
+  return {true, "taking clients"};
+}
+
 // The only caller of Handle. An action may bring about an event at once: it waits its turn here, so that
 // Handle is never entered while its actions are being carried out.
 void Proxy::Feed(Event event) {
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -22,10 +22,11 @@
 #include "config.h"
 #include "discovery.h"
 #include "members.h"
+#include "operators.h"
 
 namespace brackenspoke::proxy {
 
-class Proxy : public RequestHandler {
+class Proxy : public RequestHandler, public OperatorHandler {
  public:
   // Listens, and watches discovery, from here on.
   Proxy(boost::asio::io_context& io, Config config);
@@ -40,8 +41,11 @@
   RequestId OnRequest(ClientRequest request, std::shared_ptr<Responder> responder) override;
   void OnClientGone(RequestId request) override;
   bool Ready() const override { return listed_; }
+  void OnCall(const OperatorCall& call, OnReply reply) override;
 
   boost::asio::ip::tcp::endpoint address() const { return clients_->address(); }
+  // Where operators call; of a configuration that names it.
+  boost::asio::ip::tcp::endpoint operators_address() const { return operators_->address(); }
   std::size_t backend_connections() const { return backends_->connections(); }
   std::size_t held() const { return pending_.size(); }
 
@@ -55,6 +59,9 @@
     bool attempt_out = false;
   };
 
+  OperatorReply Ping() const;
+  OperatorReply Rejoin();
+
   void Feed(Event event);
   void HandleQueued();
   void OnList(const MemberList& list, ListKind kind);
@@ -89,6 +96,7 @@
   std::unique_ptr<Backends> backends_;
   std::unique_ptr<Clients> clients_;
   std::unique_ptr<Discovery> discovery_;
+  std::unique_ptr<Operators> operators_;
 };
 
 }  // namespace brackenspoke::proxy
--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -294,6 +294,7 @@
  public:
   explicit RunningProxy(const nlohmann::json& config)
       : io_(1), proxy_(std::make_unique<proxy::Proxy>(io_, ConfigOf(config))), address(proxy_->address()) {
+    if (config.contains("ops")) operators = proxy_->operators_address();
     thread_ = std::thread([this] { io_.run(); });
   }
   ~RunningProxy() {
@@ -326,7 +327,7 @@
   std::thread thread_;
 
  public:
-  Tcp::endpoint address;
+  Tcp::endpoint address, operators;
 };
 
 class Client {
@@ -361,6 +362,16 @@
   Tcp::socket socket;
 };
 
+// What the operators' listener answers; empty if nothing.
+inline std::string CallOperators(const Tcp::endpoint& address, const std::string& bytes) {
+  Client caller(address);
+  caller.Send(bytes);
+  std::string answer;
+  error_code ended;
+  asio::read(caller.socket, asio::dynamic_buffer(answer), ended);
+  return answer;
+}
+
 // Requests of the three classes.
 inline std::string Look(const std::string& more = "") {
   return "GET /look/it?page=2 HTTP/1.1\r\nHost: service.internal\r\nReq-Id: 0a\r\nReq-Kind: look\r\n" + more +
