Obey operators' maintenance calls, and let one process replace another beside it

Maintenance: the module keeps a set of detached servers beside its table and makes one that comes back cold; attempts that have not written a byte end as never sent. The ids are written whole and renamed in TMPDIR before the answer, which waits for the other process to have seen them. Upgrade: the clients' listener shares its address by SO_REUSEPORT; a page in TMPDIR tells each process what the other holds and whether it takes clients. A second process listens once its list is fresh. At SIGTERM the old one steers new connections to it, empties its queue and closes. Both parts rest on that page, which is why they come together.

At the stop a half-read request may come until 1 s before SIGKILL, as a client may take 2 s to write; it was 0.5 s after the grace. A connection without a byte is closed after 0.5 s, not at once.

--- a/include/brackenspoke/balancer.h
+++ b/include/brackenspoke/balancer.h
@@ -118,7 +118,19 @@
 struct TimerFired {
   std::uint64_t token = 0;
 };
-using Event = std::variant<ListUpdate, Submit, StreamStarted, AttemptEnded, ClientGone, TimerFired>;
+// Operators take a server out, whatever lists say of it, until they put it back: restarted, so cold.
+struct Detach {
+  ServerId server = 0;
+};
+struct Attach {
+  ServerId server = 0;
+};
+// So many processes are this one proxy now: two while one replaces the other.
+struct Sharing {
+  int processes = 1;
+};
+using Event = std::variant<ListUpdate, Submit, StreamStarted, AttemptEnded, ClientGone, TimerFired, Detach,
+                           Attach, Sharing>;
 
 // ---- actions ------------------------------------------------------------------------------------------
 struct Dispatch {
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -184,7 +184,7 @@
 
  private:
   // ---- 3. Pick ----------------------------------------------------------------------------------------
-  bool Usable(const Server& s) const { return s.entry.state == ServerState::kReady; }
+  bool Usable(const Server& s) const { return s.entry.state == ServerState::kReady && !s.detached; }
 
   ServerIndex IndexOf(const Server& s) const { return static_cast<ServerIndex>(&s - servers_.data()); }
 
@@ -318,8 +318,9 @@
   // ---- 4. Cold-start budget ---------------------------------------------------------------------------
   // The share of its capacity that a server has at least.
   double WarmShare(const Server& s) const {
-    if (s.entry.up_since.time_since_epoch().count() <= 0) return 1;
-    const double age = (now_ - s.entry.up_since).count();
+    const TimePoint up_since = std::max(s.entry.up_since, s.attached_at);
+    if (up_since.time_since_epoch().count() <= 0) return 1;
+    const double age = (now_ - up_since).count();
     const double warm_up = settings_.warm_up.count();
     if (warm_up <= 0 || age >= warm_up) return 1;
     return settings_.cold_from + (1 - settings_.cold_from) * std::max(0.0, age) / warm_up;
@@ -335,9 +336,10 @@
     if (share >= 1) return true;
     const Duration window = settings_.overload_for * kWindowSlack;
     const double sent = s.sent.Within(now_, window);
-    const double rate = kColdCaution * settings_.fall_multiple * share * warm_rate_;
+    const double rate = kColdCaution * settings_.fall_multiple * share * warm_rate_ / processes_;
     if (sent + work <= rate * settings_.overload_for.count()) return true;
-    const double least = settings_.fall_multiple * settings_.cold_from * kColdLeast / settings_.balancers;
+    const double least =
+        settings_.fall_multiple * settings_.cold_from * kColdLeast / (settings_.balancers * processes_);
     const double paid = std::max(rate, least);
     return paid > 0 && now_ - s.turn_since >= s.turn_phase * std::max(window, Duration(work / paid));
   }
@@ -697,15 +699,23 @@
       const bool added = index_.count(entry.server) == 0;
       if (added) index_[entry.server] = NewServer();
       Server& s = servers_[index_[entry.server]];
+      s.detached = detached_.contains(entry.server);
       const ServerState before = s.entry.state;
       const bool started = added || entry.up_since != s.entry.up_since;
       s.entry = entry;
       s.entry.state = before;
       SetState(s, entry.state);
-      if (!started || WarmShare(s) >= 1) continue;
-      s.sent.Clear();
-      s.turn_since = now_, s.turn_phase = random_.Unit();
+      if (started && WarmShare(s) < 1) BeginCold(s);
     }
+    ListChanged();
+  }
+
+  void BeginCold(Server& s) {
+    s.sent.Clear();
+    s.turn_since = now_, s.turn_phase = random_.Unit();
+  }
+
+  void ListChanged() {
     ring_.clear();
     for (const Server& s : servers_) ring_.push_back(IndexOf(s));
     std::sort(ring_.begin(), ring_.end(), [this](ServerIndex a, ServerIndex b) {
@@ -735,12 +745,44 @@
 
   void SetState(Server& s, ServerState state) {
     if (state == ServerState::kGone && s.entry.state != state) s.gone_since = now_;
-    const int ready = (state == ServerState::kReady) - Usable(s);
-    fleet_.hosts += ready;
-    fleet_.ejected += s.health.ejected ? ready : 0;
-    s.entry.state = state;
+    Change(s, state, s.detached);
   }
 
+  void Change(Server& s, ServerState state, bool detached) {
+    const bool before = Usable(s);
+    s.entry.state = state;
+    s.detached = detached;
+    const int usable = Usable(s) - before;
+    fleet_.hosts += usable;
+    fleet_.ejected += s.health.ejected ? usable : 0;
+  }
+
+  // Operators take servers out and put them back. It holds for servers that no list has named yet, too. One
+  // that is put back was restarted: what was counted of it before says nothing, and it is cold from now on.
+  void On(const Detach& e) {
+    detached_.insert(e.server);
+    const auto found = index_.find(e.server);
+    if (found == index_.end()) return;
+    Server& s = servers_[found->second];
+    Change(s, s.entry.state, true);
+    ListChanged();
+  }
+
+  void On(const Attach& e) {
+    if (detached_.erase(e.server) == 0) return;
+    const auto found = index_.find(e.server);
+    if (found == index_.end()) return;
+    Server& s = servers_[found->second];
+    s.health = Host();
+    s.slowness = 1;
+    s.attached_at = now_;
+    Change(s, s.entry.state, false);
+    BeginCold(s);
+    ListChanged();
+  }
+
+  void On(const Sharing& e) { processes_ = std::max(1, e.processes); }
+
   // Servers that are listed, and that are in service; a cold one counts as its share.
   void CountCapacity() {
     listed_ = in_service_ = 0;
@@ -869,6 +911,8 @@
   std::vector<Action>* out_ = nullptr;
   std::vector<Server> servers_;
   std::unordered_map<ServerId, ServerIndex> index_;
+  std::set<ServerId> detached_;  // by the operators
+  int processes_ = 1;            // that are this one proxy
   OutlierDetector::Fleet fleet_;
   double warm_rate_ = 0;
   double listed_ = 0, in_service_ = 0;  // servers ready and of these not ejected; a cold one as its share
--- a/src/measures.h
+++ b/src/measures.h
@@ -117,6 +117,8 @@
 
 struct Server {
   ServerEntry entry;
+  bool detached = false;    // by the operators
+  TimePoint attached_at{};  // put back by them then, restarted
   TimePoint gone_since{};
   int in_list = 0;      // the last complete list that named it
   double own_work = 0;  // hinted, of this proxy, in flight
--- a/src/proxy/backends.cpp
+++ b/src/proxy/backends.cpp
@@ -52,6 +52,8 @@
   ServerId server() const { return server_; }
   std::uint64_t generation() const { return generation_; }
   Steady::time_point idle_since() const { return idle_since_; }
+  // An attempt is out, of which the backend has seen nothing.
+  bool Unbegun() const { return done_ && !begun_; }
 
   void Open(const Tcp::endpoint& address, Duration connect_timeout) {
     Error error;
@@ -72,7 +74,7 @@
     request_ = std::move(request);
     done_ = std::move(done);
     deadline_ = Steady::now() + ToSteady(timeout);
-    written_ = false;
+    begun_ = written_ = false;
   }
 
   void Reuse() {
@@ -122,6 +124,23 @@
     Close();
   }
 
+  // Ends the attempt, if one is out.
+  void Finish(Outcome outcome, HttpResponse response = {}) {
+    if (!done_) return;
+    const auto self = shared_from_this();
+    const AttemptDone done = std::exchange(done_, nullptr);
+    // Closed before anybody hears of the end: the next attempt must not find this one on an open connection.
+    // The request and the parser are then still in use by a write or read under way, and end with it.
+    if (std::exchange(reusable_, false) && owner_) {
+      request_ = {};
+      parser_.reset();
+      owner_->Keep(self);
+    } else {
+      Close();
+    }
+    done({outcome, std::move(response)});
+  }
+
  private:
   void SetTimer(Steady::time_point at) {
     timer_.expires_at(at);
@@ -134,6 +153,7 @@
   }
 
   void Write() {
+    begun_ = true;
     http::async_write(socket_, request_, [self = shared_from_this()](const Error& failed, std::size_t) {
       if (!self->done_) return;
       if (failed) return self->Finish(Outcome::kConnectFailed);
@@ -160,22 +180,6 @@
                      });
   }
 
-  void Finish(Outcome outcome, HttpResponse response = {}) {
-    if (!done_) return;
-    const auto self = shared_from_this();
-    const AttemptDone done = std::exchange(done_, nullptr);
-    // Closed before anybody hears of the end: the next attempt must not find this one on an open connection.
-    // The request and the parser are then still in use by a write or read under way, and end with it.
-    if (std::exchange(reusable_, false) && owner_) {
-      request_ = {};
-      parser_.reset();
-      owner_->Keep(self);
-    } else {
-      Close();
-    }
-    done({outcome, std::move(response)});
-  }
-
   Backends* owner_;
   ServerId server_;
   std::uint64_t generation_;
@@ -187,10 +191,10 @@
   AttemptDone done_;  // set while an attempt is out
   Steady::time_point deadline_{}, idle_since_{};
   std::uint64_t use_ = 0;
-  bool written_ = false, reusable_ = false, closed_ = false;
+  bool begun_ = false, written_ = false, reusable_ = false, closed_ = false;
 };
 
-Backends::Backends(asio::io_context& io, Limits limits) : io_(io), limits_(limits) {}
+Backends::Backends(asio::io_context& io, Limits limits) : io_(io), limits_(std::move(limits)) {}
 
 Backends::~Backends() {
   const auto live = std::move(live_);
@@ -212,9 +216,38 @@
 void Backends::Retire(ServerId server) {
   const auto found = backends_.find(server);
   if (found == backends_.end()) return;
-  ++found->second.generation;
   found->second.usable = false;
-  CloseIdle(server);
+  Renew(found->second);
+}
+
+// Nothing that is open now is used again.
+void Backends::Renew(Backend& backend) {
+  ++backend.generation;
+  const auto idle = std::exchange(backend.idle, {});
+  for (const auto& connection : idle) connection->Close();
+}
+
+void Backends::Detach(ServerId server) {
+  Backend& backend = backends_[server];
+  backend.detached = true;
+  Renew(backend);
+  std::vector<std::shared_ptr<Connection>> unbegun;
+  for (const auto& [key, weak] : live_) {
+    const auto connection = weak.lock();
+    if (connection && connection->server() == server && connection->Unbegun()) unbegun.push_back(connection);
+  }
+  for (const auto& connection : unbegun) connection->Finish(Outcome::kMoot);
+}
+
+void Backends::Attach(ServerId server) {
+  Backend& backend = backends_[server];
+  backend.detached = false;
+  Renew(backend);
+}
+
+void Backends::Shrink(std::size_t connections) {
+  while (open_ > connections && CloseOldestIdle()) {
+  }
 }
 
 void Backends::RetireOthers(const std::unordered_set<ServerId>& named) {
@@ -226,8 +259,7 @@
 void Backends::CloseIdle(ServerId server) {
   const auto found = backends_.find(server);
   if (found == backends_.end()) return;
-  const auto idle = std::move(found->second.idle);
-  found->second.idle.clear();
+  const auto idle = std::exchange(found->second.idle, {});
   for (const auto& connection : idle) connection->Close();
 }
 
@@ -245,7 +277,7 @@
   // It never had an address.
   if (backend.address.port() == 0) return connection->FinishSoon(Outcome::kConnectFailed);
   // A limit of this proxy's own says nothing of the backend: the attempt was never made.
-  if (open_ > limits_.connections && !CloseOldestIdle()) return connection->FinishSoon(Outcome::kMoot);
+  if (open_ > limits_.connections() && !CloseOldestIdle()) return connection->FinishSoon(Outcome::kMoot);
   ++opened_;
   connection->Open(backend.address, limits_.connect_timeout);
 }
@@ -273,7 +305,8 @@
 
 void Backends::Keep(const std::shared_ptr<Connection>& connection) {
   Backend& backend = backends_[connection->server()];
-  if (!backend.usable || backend.generation != connection->generation()) return connection->Close();
+  if (!backend.usable || backend.detached || backend.generation != connection->generation())
+    return connection->Close();
   backend.idle.push_back(connection);
   connection->WatchIdle(limits_.conn_idle * kIdleShare);
 }
--- a/src/proxy/backends.h
+++ b/src/proxy/backends.h
@@ -37,7 +37,7 @@
   struct Limits {
     Duration connect_timeout{250};
     Duration conn_idle{15000};
-    std::size_t connections = 300;  // over all backends
+    std::function<std::size_t()> connections = [] { return std::size_t{300}; };  // over all backends, now
   };
 
   Backends(boost::asio::io_context& io, Limits limits);
@@ -52,6 +52,12 @@
   // All but those that a complete list names.
   void RetireOthers(const std::unordered_set<ServerId>& named);
   void CloseIdle(ServerId server);
+  // Operators take a backend out: what stands idle goes, and attempts end that have not written a byte.
+  void Detach(ServerId server);
+  // It is back, as another process.
+  void Attach(ServerId server);
+  // Closes what has stood idle for longest, until so many are open or none is idle.
+  void Shrink(std::size_t connections);
 
   // One attempt. `done` is called once, never from within this call, and not after the destructor.
   void Send(ServerId server, HttpRequest request, Duration timeout, AttemptDone done);
@@ -66,12 +72,13 @@
     boost::asio::ip::tcp::endpoint address;
     double up_since = 0;
     std::uint64_t generation = 0;  // connections of an older one are not kept
-    bool usable = false;
+    bool usable = false, detached = false;
     std::vector<std::shared_ptr<Connection>> idle;  // the most recently used last
   };
 
   std::shared_ptr<Connection> TakeIdle(Backend& backend);
   bool CloseOldestIdle();
+  void Renew(Backend& backend);
   void Keep(const std::shared_ptr<Connection>& connection);
   void Drop(const Connection* connection);
 
--- a/src/proxy/clients.cpp
+++ b/src/proxy/clients.cpp
@@ -1,6 +1,9 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "clients.h"
 
+#include <linux/filter.h>
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -33,8 +36,11 @@
 constexpr std::chrono::seconds kSlowWrite{10};       // for an answer to be taken
 constexpr std::chrono::seconds kDrain{1};            // for the peer to notice the end
 constexpr std::chrono::milliseconds kPause{50};      // after a failed accept
-constexpr std::chrono::milliseconds kHalfRead{500};  // at the stop, for the rest of a request to come
-constexpr std::chrono::milliseconds kLookAgain{10};
+constexpr std::chrono::milliseconds kLookAgain{10};  // at the stop
+// Before its end: nothing is begun any more, and the last answers are given.
+constexpr std::chrono::milliseconds kLastRequests{1000}, kLastAnswers{150};
+constexpr std::chrono::milliseconds kFirstBytes{500};  // of a request, after it was connected for
+constexpr int kAtOnce = 32;                            // connections accepted before others have their turn
 // In a drain: what has stood idle for so long may be closed, and this often it is looked for.
 constexpr std::chrono::seconds kIdleLongEnough{2};
 constexpr std::chrono::milliseconds kSweep{100};
@@ -265,13 +271,14 @@
     HttpRequest message = parser_->release();
     last_ = !message.keep_alive();
     if (message.method() == http::verb::get && message.target() == "/ready") {
-      const bool ready = owner_->handler_.Ready() && !owner_->draining_;
+      const bool ready = owner_->handler_.Ready();
       return Write(ready ? Plain(http::status::ok, "ready\n")
                          : Plain(http::status::service_unavailable, "not ready\n"));
     }
     ClientRequest request;
     if (const auto complaint = Understand(std::move(message), at, owner_->config_, &request))
       return Write(Plain(complaint->status, complaint->text + '\n'));
+    if (owner_->stopping_) request.due = std::min(request.due, owner_->end_ - kLastAnswers);
     state_ = State::kHeld;
     owner_->sessions_.splice(owner_->sessions_.end(), owner_->sessions_, place);
     request_ = owner_->handler_.OnRequest(std::move(request), shared_from_this());
@@ -348,20 +355,26 @@
   bool draining_ = false;
 };
 
-Clients::Clients(asio::io_context& io, const Config& config, std::size_t most_connections,
+Clients::Clients(asio::io_context& io, const Config& config, std::function<std::size_t()> most_connections,
                  RequestHandler& handler)
     : io_(io),
       config_(config),
-      most_connections_(most_connections),
+      most_connections_(std::move(most_connections)),
       handler_(handler),
       acceptor_(io),
       pause_(io),
       sweep_(io),
-      grace_(io) {
-  acceptor_.open(config.listen.protocol());
+      grace_(io) {}
+
+void Clients::Open() {
+  acceptor_.open(config_.listen.protocol());
   acceptor_.set_option(Tcp::acceptor::reuse_address(true));  // restarts come on the same address
-  acceptor_.bind(config.listen);
+  // Where there is no such option no other process can listen beside this one, which is no reason to end.
+  const int on = 1;
+  ::setsockopt(acceptor_.native_handle(), SOL_SOCKET, SO_REUSEPORT, &on, sizeof on);
+  acceptor_.bind(config_.listen);
   acceptor_.listen();
+  acceptor_.non_blocking(true);
   Accept();
 }
 
@@ -373,31 +386,74 @@
 
 void Clients::Accept() {
   waiting_for_room_ = false;
-  if (shut_) return;
-  if (sessions_.size() >= most_connections_ && !MakeRoom()) {
-    waiting_for_room_ = true;  // the next connections wait in the kernel's queue
-    return;
-  }
-  acceptor_.async_accept([this](const Error& failed, Tcp::socket socket) {
-    if (failed == asio::error::operation_aborted) return;
-    // Guards against spinning when descriptors run out: the queue stays readable all the while.
-    if (failed) return AcceptLater();
-    sessions_.push_back(std::make_shared<Session>(*this, std::move(socket)));
-    const auto session = sessions_.back();
-    session->place = std::prev(sessions_.end());
-    session->Start();
-    Accept();
+  if (shut_ || accepting_) return;
+  accepting_ = true;
+  acceptor_.async_wait(Tcp::acceptor::wait_read, [this](const Error& cancelled) {
+    accepting_ = false;
+    if (!cancelled) AcceptSome();
   });
 }
 
+void Clients::AcceptSome() {
+  for (int i = 0; i < kAtOnce && !shut_; ++i) {
+    const Accepted accepted = AcceptOne();
+    if (accepted == Accepted::kNone) break;
+    // The next connections wait in the kernel's queue.
+    if (accepted == Accepted::kNoRoom) waiting_for_room_ = true;
+    // Guards against spinning when descriptors run out: the queue stays readable all the while.
+    if (accepted != Accepted::kOne) return AcceptLater();
+  }
+  Accept();
+}
+
+Clients::Accepted Clients::AcceptOne() {
+  if (sessions_.size() >= most_connections_() && !MakeRoom()) return Accepted::kNoRoom;
+  Error failed;
+  Tcp::socket socket = acceptor_.accept(io_, failed);
+  if (failed == asio::error::would_block) return Accepted::kNone;
+  if (failed == asio::error::connection_aborted) return Accepted::kOne;
+  if (failed) {
+    MakeRoom();
+    return Accepted::kFailed;
+  }
+  sessions_.push_back(std::make_shared<Session>(*this, std::move(socket)));
+  const auto session = sessions_.back();
+  session->place = std::prev(sessions_.end());
+  session->Start();
+  return Accepted::kOne;
+}
+
 void Clients::AcceptLater() {
-  MakeRoom();
   pause_.expires_after(kPause);
   pause_.async_wait([this](const Error& cancelled) {
     if (!cancelled) Accept();
   });
 }
 
+// False if connections may still wait to be accepted.
+bool Clients::EmptyQueue() {
+  while (acceptor_.is_open()) {
+    const Accepted accepted = AcceptOne();
+    if (accepted != Accepted::kOne) return accepted == Accepted::kNone;
+  }
+  return true;
+}
+
+bool Clients::Steer(int listener) {
+  sock_filter choose[] = {BPF_STMT(BPF_RET | BPF_K, static_cast<unsigned>(listener))};
+  const sock_fprog program{1, choose};
+  return ::setsockopt(acceptor_.native_handle(), SOL_SOCKET, SO_ATTACH_REUSEPORT_CBPF, &program,
+                      sizeof program) == 0;
+}
+
+void Clients::Shrink(std::size_t connections) {
+  const auto before = Steady::now() - kIdleLongEnough;
+  for (auto it = sessions_.begin(); it != sessions_.end() && sessions_.size() > connections;) {
+    const auto session = *it++;
+    if (session->IdleSince(before)) session->Close();
+  }
+}
+
 bool Clients::MakeRoom() {
   const auto idle =
       std::find_if(sessions_.begin(), sessions_.end(), [](const auto& session) { return session->Idle(); });
@@ -426,18 +482,15 @@
   sweep_.expires_after(kSweep);
   sweep_.async_wait([this](const Error& cancelled) {
     if (cancelled || !draining_) return;
-    const auto before = Steady::now() - kIdleLongEnough;
-    for (auto it = sessions_.begin(); it != sessions_.end();) {
-      const auto session = *it++;
-      if (session->IdleSince(before)) session->Close();
-    }
+    Shrink(0);
     CloseIdleLater();
   });
 }
 
-void Clients::Stop(Duration grace, std::function<void()> done) {
+void Clients::Stop(Duration grace, Steady::time_point end, std::function<void()> done) {
   if (std::exchange(stopping_, true)) return;
   Drain();
+  end_ = end;
   stopped_ = std::move(done);
   grace_.expires_after(std::chrono::ceil<Steady::duration>(grace));
   grace_.async_wait([this](const Error& cancelled) {
@@ -447,18 +500,20 @@
 
 // Looks again until no answer is owed and no request is half read.
 void Clients::Shut() {
-  if (!std::exchange(shut_, true)) {
+  const bool late = Steady::now() >= end_ - kLastRequests;
+  if (!shut_ && (EmptyQueue() || late)) {
+    shut_ = true;
     Error ignored;
     acceptor_.close(ignored);
-    half_read_until_ = Steady::now() + kHalfRead;
   }
-  bool wait = false;
-  for (auto it = sessions_.begin(); it != sessions_.end();) {
+  const auto before = Steady::now() - (late ? Steady::duration(0) : kFirstBytes);
+  bool wait = !shut_;
+  for (auto it = sessions_.begin(); shut_ && it != sessions_.end();) {
     const auto session = *it++;
-    if (session->Idle()) {
+    if (session->IdleSince(before)) {
       session->Close();
     } else {
-      wait |= session->Owes() || (session->Reading() && Steady::now() < half_read_until_);
+      wait |= session->Owes() || (session->Reading() && !late);
     }
   }
   if (!wait) return stopped_();
--- a/src/proxy/clients.h
+++ b/src/proxy/clients.h
@@ -56,26 +56,35 @@
   virtual ~RequestHandler() = default;
   virtual RequestId OnRequest(ClientRequest request, std::shared_ptr<Responder> responder) = 0;
   virtual void OnClientGone(RequestId request) = 0;
-  virtual bool Ready() const = 0;
+  virtual bool Ready() const = 0;  // clients may come
 };
 
 class Clients {
  public:
-  // Listens at once; throws boost::system::system_error if it cannot.
-  Clients(boost::asio::io_context& io, const Config& config, std::size_t most_connections,
+  // `most_connections` tells how many there may be, now.
+  Clients(boost::asio::io_context& io, const Config& config, std::function<std::size_t()> most_connections,
           RequestHandler& handler);
   ~Clients();
   Clients(const Clients&) = delete;
   Clients& operator=(const Clients&) = delete;
 
-  // From now on /ready says no and each connection closes after its answer; new ones are still served. What
+  // Listens; throws boost::system::system_error if it cannot.
+  void Open();
+  bool Listening() const { return acceptor_.is_open(); }
+
+  // From now on each connection closes after its answer; new ones are still served. What
   // stands idle is closed once it has done so for long enough.
   void Drain();
   // Takes a drain back.
   void Rejoin();
-  // A drain for good: after the grace nothing is accepted any more, and `done` is called when no answer is
-  // owed.
-  void Stop(Duration grace, std::function<void()> done);
+  // A drain for good: after the grace, when nobody waits to be accepted, nothing is accepted any more, and
+  // `done` is called when no answer is owed. Nothing is left to be done at `end`.
+  void Stop(Duration grace, Steady::time_point end, std::function<void()> done);
+  // Of two processes that listen at this address, new connections go to the one whose listener came first or
+  // second; false if the system does not do that.
+  bool Steer(int listener);
+  // Closes what has stood idle for long enough, until so many are open.
+  void Shrink(std::size_t connections);
   bool Draining() const { return draining_; }
   bool Stopping() const { return stopping_; }
 
@@ -86,8 +95,12 @@
   class Session;
   friend class Session;
 
+  enum class Accepted { kOne, kNone, kNoRoom, kFailed };
   void Accept();
+  void AcceptSome();
+  Accepted AcceptOne();
   void AcceptLater();
+  bool EmptyQueue();
   bool MakeRoom();
   void Remove(Session* session);
   void CloseIdleLater();
@@ -95,14 +108,14 @@
 
   boost::asio::io_context& io_;
   const Config& config_;
-  std::size_t most_connections_;
+  std::function<std::size_t()> most_connections_;
   RequestHandler& handler_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer pause_, sweep_, grace_;
   std::list<std::shared_ptr<Session>> sessions_;  // the longest unused first
-  bool waiting_for_room_ = false, draining_ = false, stopping_ = false, shut_ = false;
+  bool accepting_ = false, waiting_for_room_ = false, draining_ = false, stopping_ = false, shut_ = false;
   std::function<void()> stopped_;
-  Steady::time_point half_read_until_{};
+  Steady::time_point end_{};  // of a stop
 };
 
 }  // namespace brackenspoke::proxy
--- a/src/proxy/config.cpp
+++ b/src/proxy/config.cpp
@@ -56,6 +56,13 @@
   return Address(from_env, root, name);
 }
 
+// A path for this proxy's files, by the address that all of its processes have.
+std::string StatePath(const char* directory, const Tcp::endpoint& listen) {
+  if (!directory || !*directory) return "";
+  return std::string(directory) + "/kestrelline-" + listen.address().to_string() + '-' +
+         std::to_string(listen.port());
+}
+
 std::vector<std::string> Strings(const json& settings, const char* name) {
   std::vector<std::string> all;
   const auto found = settings.find(name);
@@ -83,6 +90,7 @@
   config.listen = Address(env("ROUTER_LISTEN"), root, "listen");
   config.discovery = Address(env("ROUTER_DISCOVERY"), root, "discovery");
   config.operators = OptionalAddress(env("ROUTER_OPS"), root, "ops");
+  if (config.operators) config.state_path = StatePath(env("TMPDIR"), config.listen);
   config.seed = SeedOf(root);
   if (const auto limits = root.find("limits"); limits != root.end())
     config.sockets = limits->value("sockets", config.sockets);
--- a/src/proxy/config.h
+++ b/src/proxy/config.h
@@ -28,6 +28,8 @@
   std::string name;
   boost::asio::ip::tcp::endpoint listen, discovery;
   std::optional<boost::asio::ip::tcp::endpoint> operators;  // where operators call, if they do
+  // Where processes of this proxy keep what they share; empty where none is ever replaced beside itself.
+  std::string state_path;
   std::uint64_t seed = 0;
   int sockets = 1024;  // descriptors that the process may hold
   Settings settings;
--- /dev/null
+++ b/src/proxy/maintenance.h
@@ -0,0 +1,40 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// The ids of the servers that operators have taken out, kept in a file for the next process.
+#ifndef BRACKENSPOKE_PROXY_MAINTENANCE_H_
+#define BRACKENSPOKE_PROXY_MAINTENANCE_H_
+
+#include <cstdint>
+#include <set>
+#include <string>
+
+#include "overlap.h"
+
+namespace brackenspoke::proxy {
+
+class Maintenance {
+ public:
+  // `path` names the file; empty to keep nothing. Throws std::system_error if it is there and cannot be read.
+  Maintenance(std::string path, Overlap& overlap);
+
+  const std::set<std::string>& out() const { return out_; }
+  std::uint64_t version() const { return version_; }
+
+  // Takes a server out or puts it back; false, and nothing has changed, if that cannot be kept.
+  bool Change(const std::string& id, bool out);
+  // Reads what another process has changed; false if nothing.
+  bool Refresh();
+
+ private:
+  std::set<std::string> Read() const;
+  bool Write(const std::set<std::string>& out) const;
+
+  std::string path_;
+  Overlap& overlap_;
+  std::set<std::string> out_;
+  std::uint64_t version_ = 0;
+};
+
+}  // namespace brackenspoke::proxy
+
+#endif  // BRACKENSPOKE_PROXY_MAINTENANCE_H_
--- a/src/proxy/members.cpp
+++ b/src/proxy/members.cpp
@@ -95,13 +95,16 @@
 }
 
 void ServerNumbers::Learn(const std::vector<Member>& members) {
-  std::vector<std::string> fresh;
-  for (const Member& m : members) {
-    if (!numbers_.contains(m.id)) fresh.push_back(m.id);
-  }
+  std::vector<std::string> ids;
+  for (const Member& m : members) ids.push_back(m.id);
+  Learn(std::move(ids));
+}
+
+void ServerNumbers::Learn(std::vector<std::string> ids) {
+  std::erase_if(ids, [this](const std::string& id) { return numbers_.contains(id); });
   // Guards against two proxies that see one list in another order numbering a collision differently.
-  std::sort(fresh.begin(), fresh.end());
-  for (const std::string& id : fresh) {
+  std::sort(ids.begin(), ids.end());
+  for (const std::string& id : ids) {
     if (numbers_.contains(id)) continue;
     ServerId number = hash_(id);
     for (int salt = 1; taken_.contains(number); ++salt) {
--- a/src/proxy/members.h
+++ b/src/proxy/members.h
@@ -53,7 +53,9 @@
 
   // Numbers every id of a list, then `Of` finds them.
   void Learn(const std::vector<Member>& members);
+  void Learn(std::vector<std::string> ids);
   ServerId Of(const std::string& id) const { return numbers_.at(id); }
+  bool Has(const std::string& id) const { return numbers_.contains(id); }
 
  private:
   Hash hash_;
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -14,15 +14,32 @@
 constexpr int kOtherDescriptors = 40;
 constexpr double kClientShare = 0.6;
 constexpr TimePoint kUnarmed{Duration(1e300)};
-constexpr Duration kStopGrace{600};  // connections go on coming for up to 400 ms after SIGTERM
+constexpr double kLeastShare = 8;
+constexpr Duration kStopGrace{600};     // connections go on coming for up to 400 ms after SIGTERM
+constexpr Duration kReplacedGrace{50};  // none come where another process takes them
+constexpr Duration kLongestToEnd{3000}, kEndMargin{700};
+constexpr std::chrono::seconds kFreshList{3};      // what a second process waits for discovery
+constexpr std::chrono::milliseconds kSeenBy{700};  // for the other process to obey an operators' call
 
-Backends::Limits BackendLimits(const Config& config) {
-  const double rest = config.sockets - kOtherDescriptors;
-  return {config.connect_timeout, config.conn_idle, static_cast<std::size_t>(rest * (1 - kClientShare))};
+// Of the descriptors that the processes of this proxy share, for clients and for backends.
+double SharedDescriptors(const Config& config, int processes) {
+  return std::max(config.sockets - kOtherDescriptors * processes, config.sockets / 4);
 }
 
-std::size_t ClientLimit(const Config& config) {
-  return static_cast<std::size_t>((config.sockets - kOtherDescriptors) * kClientShare);
+// What others leave of a limit, and a little: nobody is shut out for good.
+std::size_t Rest(double limit, std::size_t others) {
+  return static_cast<std::size_t>(std::max(limit - static_cast<double>(others), kLeastShare));
+}
+
+std::string InState(const Config& config, const char* suffix) {
+  return config.state_path.empty() ? "" : config.state_path + suffix;
+}
+
+// When SIGKILL may follow SIGTERM.
+Duration TimeToEnd(const Settings& settings) {
+  Duration longest{0};
+  for (const ClassSettings& c : settings.classes) longest = std::max(longest, c.deadline);
+  return std::min(longest, kLongestToEnd) + kEndMargin;
 }
 
 Discovery::Options DiscoveryOptions(const Config& config) {
@@ -38,27 +55,101 @@
 }  // namespace
 
 Proxy::Proxy(boost::asio::io_context& io, Config config)
-    : config_(std::move(config)),
+    : io_(io),
+      config_(std::move(config)),
+      overlap_(io, InState(config_, ".page")),
+      maintenance_(InState(config_, ".maintenance"), overlap_),
       balancer_(config_.settings, config_.seed),
       armed_for_(kUnarmed),
-      timer_(io) {
-  backends_ = std::make_unique<Backends>(io, BackendLimits(config_));
+      timer_(io),
+      open_timer_(io) {
+  backends_ = std::make_unique<Backends>(
+      io, Backends::Limits{config_.connect_timeout, config_.conn_idle, [this] { return MostBackends(); }});
+  clients_ = std::make_unique<Clients>(
+      io, config_, [this] { return MostClients(); }, *this);
   discovery_ = std::make_unique<Discovery>(
       io, DiscoveryOptions(config_),
-      [this](const MemberList& list) { OnList(list, list.complete ? ListKind::kFull : ListKind::kDelta); },
+      [this](const MemberList& list) {
+        OnList(list, list.complete ? ListKind::kFull : ListKind::kDelta);
+        if (!clients_->Listening()) OpenWhenListed();
+      },
       [this] {
         Feed(ListUpdate{ListKind::kFailed, {}});
       });
+  ObeyMaintenance();
   OnList(config_.known, ListKind::kCached);
   listed_ = !config_.known.members.empty();
   if (!config_.settings.must_ask_for_list) discovery_->Watch();
-  clients_ = std::make_unique<Clients>(io, config_, ClientLimit(config_), *this);
+  if (overlap_.processes() == 1) {
+    clients_->Open();
+    overlap_.Listening();
+  } else {
+    open_timer_.expires_after(kFreshList);
+    open_timer_.async_wait([this](const boost::system::error_code& cancelled) {
+      if (!cancelled && !clients_->Listening()) OpenWhenListed();
+    });
+  }
   if (config_.operators) operators_ = std::make_unique<Operators>(io, *config_.operators, *this);
+  overlap_.Watch([this] { OnLook(); });
 }
 
 Proxy::~Proxy() = default;
 
-void Proxy::Stop(std::function<void()> done) { clients_->Stop(kStopGrace, std::move(done)); }
+// Beside another process of this proxy, its clients are not to notice this one before it has fresh news.
+void Proxy::OpenWhenListed() {
+  if (!listed_ || clients_->Stopping()) return;
+  clients_->Open();
+  overlap_.Listening();
+  overlap_.SetTaking(Taking());
+}
+
+bool Proxy::Taking() const { return listed_ && clients_->Listening() && !clients_->Draining(); }
+
+// To clients all processes of this proxy are one.
+bool Proxy::Ready() const { return Taking() || (clients_->Stopping() && overlap_.OtherTakes()); }
+
+void Proxy::Stop(std::function<void()> done) {
+  const bool replaced = overlap_.OtherTakes();
+  if (replaced) clients_->Steer(overlap_.OtherIsLater() ? 1 : 0);
+  clients_->Stop(replaced ? kReplacedGrace : kStopGrace,
+                 Steady::now() + std::chrono::duration_cast<Steady::duration>(TimeToEnd(config_.settings)),
+                 std::move(done));
+  overlap_.SetTaking(false);
+}
+
+void Proxy::OnLook() {
+  if (maintenance_.Refresh()) ObeyMaintenance();
+  overlap_.Seen(maintenance_.version());
+  AnswerSeen();
+  overlap_.SetTaking(Taking());
+  if (processes_ != overlap_.processes()) {
+    processes_ = overlap_.processes();
+    std::fprintf(stderr, "%d processes are this proxy\n", processes_);
+    Feed(Sharing{processes_});
+  }
+  ShareLimits();
+}
+
+// Two processes have the limits of one: what stands idle over a fair share is closed for the other.
+void Proxy::ShareLimits() {
+  overlap_.Publish({clients_->connections(), backends_->connections(), 0});
+  if (processes_ == 1) return;
+  const double fair = SharedDescriptors(config_, processes_) / processes_;
+  clients_->Shrink(static_cast<std::size_t>(fair * kClientShare));
+  backends_->Shrink(static_cast<std::size_t>(fair * (1 - kClientShare)));
+}
+
+std::size_t Proxy::MostClients() {
+  overlap_.Publish({clients_->connections(), backends_->connections(), 0});
+  const double all = SharedDescriptors(config_, overlap_.processes());
+  return Rest(all * kClientShare, overlap_.Others().clients);
+}
+
+std::size_t Proxy::MostBackends() {
+  overlap_.Publish({clients_->connections(), backends_->connections(), 0});
+  const double all = SharedDescriptors(config_, overlap_.processes());
+  return Rest(all * (1 - kClientShare), overlap_.Others().backends);
+}
 
 void Proxy::OnCall(const OperatorCall& call, OnReply reply) {
   switch (call.verb) {
@@ -66,28 +157,74 @@
       return reply(Ping());
     case OperatorCall::Verb::kLameduck:
       clients_->Drain();
+      overlap_.SetTaking(false);
       return reply({true, "draining"});
     case OperatorCall::Verb::kRejoin:
       return reply(Rejoin());
     case OperatorCall::Verb::kDetach:
     case OperatorCall::Verb::kAttach:
-      return reply({false, "unknown call"});
+      return ChangeMaintenance(call, std::move(reply));
   }
 }
 
-OperatorReply Proxy::Ping() const {
+OperatorReply Proxy::Ping() {
+  overlap_.SetTaking(Taking());
   if (clients_->Stopping()) return {false, "stopping"};
   if (clients_->Draining()) return {false, "draining"};
   if (!listed_) return {false, "no server known yet"};
+  if (!clients_->Listening()) return {false, "starting"};
   return {true, "taking clients"};
 }
 
 OperatorReply Proxy::Rejoin() {
   if (clients_->Stopping()) return {false, "stopping"};
   clients_->Rejoin();
+  overlap_.SetTaking(Taking());
   return {true, "taking clients"};
 }
 
+void Proxy::ChangeMaintenance(const OperatorCall& call, OnReply reply) {
+  const bool out = call.verb == OperatorCall::Verb::kDetach;
+  if (maintenance_.Refresh()) ObeyMaintenance();
+  if (!numbers_.Has(call.id)) return reply({false, "unknown ID"});
+  if (!maintenance_.Change(call.id, out)) return reply({false, "cannot be kept"});
+  ObeyMaintenance();
+  unseen_.push_back({maintenance_.version(),
+                     Steady::now() + kSeenBy,
+                     {true, out ? "detached" : "attached"},
+                     std::move(reply)});
+  AnswerSeen();
+}
+
+// Tells the module, and the connections, what has changed.
+void Proxy::ObeyMaintenance() {
+  const std::set<std::string> before = std::exchange(detached_, maintenance_.out());
+  numbers_.Learn(std::vector<std::string>(detached_.begin(), detached_.end()));
+  for (const std::string& id : detached_) {
+    if (before.contains(id)) continue;
+    Feed(Detach{numbers_.Of(id)});
+    backends_->Detach(numbers_.Of(id));
+  }
+  for (const std::string& id : before) {
+    if (detached_.contains(id)) continue;
+    backends_->Attach(numbers_.Of(id));
+    Feed(Attach{numbers_.Of(id)});
+  }
+}
+
+void Proxy::AnswerSeen() {
+  for (std::size_t i = 0; i < unseen_.size();) {
+    const bool seen = overlap_.SeenByAll(unseen_[i].version);
+    if (!seen && Steady::now() < unseen_[i].until) {
+      ++i;
+      continue;
+    }
+    const Unseen answered = std::move(unseen_[i]);
+    unseen_.erase(unseen_.begin() + static_cast<std::ptrdiff_t>(i));
+    answered.on_reply(seen ? answered.reply : OperatorReply{false, "not seen by the other process"});
+  }
+}
+
 // The only caller of Handle. An action may bring about an event at once: it waits its turn here, so that
 // Handle is never entered while its actions are being carried out.
 void Proxy::Feed(Event event) {
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -21,14 +22,17 @@
 #include "clock.h"
 #include "config.h"
 #include "discovery.h"
+#include "maintenance.h"
 #include "members.h"
 #include "operators.h"
+#include "overlap.h"
 
 namespace brackenspoke::proxy {
 
 class Proxy : public RequestHandler, public OperatorHandler {
  public:
-  // Listens, and watches discovery, from here on.
+  // Watches discovery from here on, and listens: at once, or beside another process of this proxy once the
+  // list is fresh.
   Proxy(boost::asio::io_context& io, Config config);
   ~Proxy() override;
 
@@ -40,7 +44,7 @@
 
   RequestId OnRequest(ClientRequest request, std::shared_ptr<Responder> responder) override;
   void OnClientGone(RequestId request) override;
-  bool Ready() const override { return listed_; }
+  bool Ready() const override;
   void OnCall(const OperatorCall& call, OnReply reply) override;
 
   boost::asio::ip::tcp::endpoint address() const { return clients_->address(); }
@@ -59,8 +63,26 @@
     bool attempt_out = false;
   };
 
-  OperatorReply Ping() const;
+  // A change of the servers in maintenance that is kept, but not seen by every process yet.
+  struct Unseen {
+    std::uint64_t version = 0;
+    Steady::time_point until{};
+    OperatorReply reply;
+    OnReply on_reply;
+  };
+
+  OperatorReply Ping();
   OperatorReply Rejoin();
+  void ChangeMaintenance(const OperatorCall& call, OnReply reply);
+  void ObeyMaintenance();
+  void AnswerSeen();
+
+  bool Taking() const;
+  void OpenWhenListed();
+  void OnLook();
+  void ShareLimits();
+  std::size_t MostClients();
+  std::size_t MostBackends();
 
   void Feed(Event event);
   void HandleQueued();
@@ -81,8 +103,14 @@
   void ForgetIfOver(RequestId request);
   void ArmTimer();
 
+  boost::asio::io_context& io_;
   Config config_;
   ModuleClock clock_;
+  Overlap overlap_;
+  int processes_ = 1;  // that the module was told of
+  Maintenance maintenance_;
+  std::set<std::string> detached_;  // that the module was told of
+  std::vector<Unseen> unseen_;
   Balancer balancer_;
   ServerNumbers numbers_;
   std::unordered_map<RequestId, Pending> pending_;
@@ -92,7 +120,7 @@
   bool listed_ = false;
   std::multimap<TimePoint, std::uint64_t> timers_;
   TimePoint armed_for_;
-  boost::asio::steady_timer timer_;
+  boost::asio::steady_timer timer_, open_timer_;
   std::unique_ptr<Backends> backends_;
   std::unique_ptr<Clients> clients_;
   std::unique_ptr<Discovery> discovery_;
--- a/tests/backends_test.cpp
+++ b/tests/backends_test.cpp
@@ -147,7 +147,7 @@
 
 TEST(Backends, APoolThatIsFullIsNoFailureOfTheBackend) {
   Backends::Limits limits;
-  limits.connections = 1;
+  limits.connections = [] { return 1; };
   Bench bench(limits);
   std::optional<AttemptResult> first;
   bench.backends.Send(kServer, HttpRequest{http::verb::get, "/look", 11}, Duration(30000),
--- a/tests/operators_test.cpp
+++ b/tests/operators_test.cpp
@@ -129,5 +129,87 @@
   EXPECT_EQ(stopped.wait_for(kGiveUp), std::future_status::ready);
 }
 
+// ---- maintenance --------------------------------------------------------------------------------------
+struct TwoServers {
+  TwoServers() {
+    config = ConfigJson(discovery.address(), List());
+    config["ops"] = "127.0.0.1:0";
+    proxy = std::make_unique<RunningProxy>(config);
+  }
+  std::vector<nlohmann::json> List() {
+    return Members(MemberJson("s-1", one.address()), MemberJson("s-2", two.address()));
+  }
+  std::string Call(const std::string& line) { return CallOperators(proxy->operators, line); }
+  // Whether a server gets one of the next requests.
+  bool Gets(Backend& backend, int most = 100) {
+    const std::size_t before = backend.seen.Get().requests.size();
+    Client client(proxy->address);
+    for (int i = 0; i < most && backend.seen.Get().requests.size() == before; ++i) client.Ask(Look());
+    return backend.seen.Get().requests.size() > before;
+  }
+  bool GetsInTime(Backend& backend) {
+    const auto until = std::chrono::steady_clock::now() + kGiveUp;
+    while (!Gets(backend, 10) && std::chrono::steady_clock::now() < until) {
+    }
+    return std::chrono::steady_clock::now() < until;
+  }
+
+  Backend one{"one"}, two{"two"};
+  FakeDiscovery discovery;
+  nlohmann::json config;
+  std::unique_ptr<RunningProxy> proxy;
+};
+
+TEST(Maintenance, NothingNewGoesToAServerUntilItIsPutBack) {
+  TwoServers site;
+  ASSERT_TRUE(site.GetsInTime(site.one));
+  EXPECT_EQ(site.Call("DETACH s-1\n"), "ACK detached\n");
+  EXPECT_TRUE(site.one.WaitForClosed(1)) << "what stood idle goes";
+  EXPECT_FALSE(site.Gets(site.one));
+  EXPECT_EQ(site.Call("DETACH s-1\n"), "ACK detached\n");
+  EXPECT_EQ(site.Call("ATTACH s-1\n"), "ACK attached\n") << "a set, not a count";
+  EXPECT_TRUE(site.GetsInTime(site.one));
+  EXPECT_EQ(site.Call("ATTACH s-1\n"), "ACK attached\n");
+}
+
+TEST(Maintenance, HoldsWhateverDiscoverySays) {
+  TwoServers site;
+  EXPECT_TRUE(IsYes(site.Call("DETACH s-1\n")));
+  ASSERT_TRUE(site.discovery.WaitForWatches(1));
+  site.discovery.Push(ListJson(42, true, Members(MemberJson("s-2", site.two.address()))));
+  site.discovery.Push(ListJson(43, true, site.List()));
+  Backend third("three");
+  site.discovery.Push(ListJson(44, false, Members(MemberJson("s-3", third.address()))));
+  ASSERT_TRUE(site.GetsInTime(third)) << "the lists have come";
+  EXPECT_FALSE(site.Gets(site.one));
+  EXPECT_TRUE(IsYes(site.Call("ATTACH s-1\n")));
+  EXPECT_TRUE(site.GetsInTime(site.one));
+}
+
+TEST(Maintenance, FinishesWhatTheServerHolds) {
+  Watched<bool> go;
+  Backend slow([&](Tcp::socket& s, const HttpRequest&) {
+    go.WaitFor([](bool g) { return g; });
+    SendRaw(s, OkAnswer("late"));
+    return true;
+  });
+  FakeDiscovery discovery;
+  auto config = ConfigJson(discovery.address(), Members(MemberJson("s-1", slow.address())));
+  config["ops"] = "127.0.0.1:0";
+  RunningProxy proxy(config);
+  Client client(proxy.address);
+  client.Send(Book());
+  ASSERT_TRUE(slow.WaitForRequests(1));
+  EXPECT_TRUE(IsYes(CallOperators(proxy.operators, "DETACH s-1\n")));
+  go.Do([](bool& g) { g = true; });
+  EXPECT_EQ(client.Read().body(), "late");
+}
+
+TEST(Maintenance, ServersThatNobodyHasAreOwedANo) {
+  TwoServers site;
+  EXPECT_EQ(site.Call("DETACH s-9\n"), "NAK unknown ID\n");
+  EXPECT_EQ(site.Call("ATTACH s-9\n"), "NAK unknown ID\n");
+}
+
 }  // namespace
 }  // namespace brackenspoke::testing
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -233,5 +233,124 @@
   EXPECT_EQ(child.Wait(), 0);
 }
 
+// ---- upgrade ------------------------------------------------------------------------------------------
+class Folder {
+ public:
+  Folder() {
+    char name[] = "/tmp/kestrelline-test-XXXXXX";
+    if (!mkdtemp(name)) throw std::runtime_error("no folder");
+    path = name;
+  }
+  ~Folder() { std::filesystem::remove_all(path); }
+  std::string path;
+};
+
+// A proxy that may run twice, each process with an operators' address of its own.
+struct Upgrade {
+  Upgrade() { config["ops"] = "127.0.0.1:9"; }
+  std::unique_ptr<Child> Start(const Tcp::endpoint& operators) {
+    if (!file) file = std::make_unique<ConfigFile>(config.dump());
+    return std::make_unique<Child>(
+        std::map<std::string, std::string>{{"ROUTER_CONFIG", file->path},
+                                           {"ROUTER_LISTEN", "127.0.0.1:" + std::to_string(address.port())},
+                                           {"ROUTER_OPS", "127.0.0.1:" + std::to_string(operators.port())},
+                                           {"TMPDIR", folder.path}});
+  }
+  // Waits until the call is answered so.
+  static bool Answers(const Tcp::endpoint& operators, const std::string& call, const std::string& answer) {
+    const auto until = std::chrono::steady_clock::now() + kGiveUp;
+    while (std::chrono::steady_clock::now() < until) {
+      try {
+        if (CallOperators(operators, call) == answer) return true;
+      } catch (const std::exception&) {
+      }
+      std::this_thread::yield();
+    }
+    return false;
+  }
+
+  Backend one{"one"}, two{"two"};
+  FakeDiscovery discovery;
+  nlohmann::json config = ConfigJson(
+      discovery.address(), Members(MemberJson("s-1", one.address()), MemberJson("s-2", two.address())));
+  Folder folder;
+  const Tcp::endpoint address = FreePort(), old_operators = FreePort(), new_operators = FreePort();
+  std::unique_ptr<ConfigFile> file;
+};
+
+const char kPing[] = "PING\n", kPingYes[] = "ACK taking clients\n";
+
+TEST(Upgrade, NoRequestIsTurnedBackWhileOneProcessReplacesTheOther) {
+  Upgrade site;
+  const auto before = site.Start(site.old_operators);
+  ASSERT_TRUE(Upgrade::Answers(site.old_operators, kPing, kPingYes));
+  Watched<bool> over;
+  int asked = 0, unheard = 0, not_ready = 0;
+  std::thread clients([&] {
+    while (!over.Get()) {
+      ++asked;
+      try {
+        Client client(site.address);
+        unheard += client.Ask(Look()).result_int() == 0;
+        not_ready += ReadyStatus(site.address) != 200;
+      } catch (const std::exception&) {
+        ++unheard;
+      }
+    }
+  });
+  const auto after = site.Start(site.new_operators);
+  EXPECT_TRUE(Upgrade::Answers(site.new_operators, kPing, kPingYes));
+  before->Signal(SIGTERM);
+  EXPECT_EQ(before->Wait(), 0);
+  EXPECT_EQ(ReadyStatus(site.address), 200u);
+  over.Do([](bool& o) { o = true; });
+  clients.join();
+  EXPECT_GT(asked, 0);
+  EXPECT_EQ(unheard, 0);
+  EXPECT_EQ(not_ready, 0);
+  EXPECT_EQ(CallOperators(site.new_operators, kPing), kPingYes);
+  after->Signal(SIGTERM);
+  EXPECT_EQ(after->Wait(), 0);
+}
+
+TEST(Upgrade, MaintenanceHoldsInBothProcessesAndInTheNextOne) {
+  Upgrade site;
+  auto before = site.Start(site.old_operators);
+  ASSERT_TRUE(Upgrade::Answers(site.old_operators, kPing, kPingYes));
+  EXPECT_EQ(CallOperators(site.old_operators, "DETACH s-1\n"), "ACK detached\n");
+  const auto after = site.Start(site.new_operators);
+  ASSERT_TRUE(Upgrade::Answers(site.new_operators, kPing, kPingYes));
+  const auto gets = [&](Backend& backend) {
+    const std::size_t seen = backend.seen.Get().requests.size();
+    for (int i = 0; i < 40; ++i) Client(site.address).Ask(Look());
+    return backend.seen.Get().requests.size() > seen;
+  };
+  EXPECT_FALSE(gets(site.one));
+  EXPECT_EQ(CallOperators(site.new_operators, "ATTACH s-1\n"), "ACK attached\n");
+  EXPECT_EQ(CallOperators(site.new_operators, "DETACH s-2\n"), "ACK detached\n");
+  EXPECT_FALSE(gets(site.two)) << "in the old process, too";
+  before->Signal(SIGKILL);
+  before->Wait();
+  before = site.Start(site.old_operators);
+  ASSERT_TRUE(Upgrade::Answers(site.old_operators, kPing, kPingYes));
+  EXPECT_FALSE(gets(site.two));
+  EXPECT_EQ(CallOperators(site.old_operators, "ATTACH s-2\n"), "ACK attached\n");
+}
+
+TEST(Upgrade, ACallThatCannotBeKeptIsANo) {
+  Upgrade site;
+  const auto process = site.Start(site.old_operators);
+  ASSERT_TRUE(Upgrade::Answers(site.old_operators, kPing, kPingYes));
+  std::filesystem::remove_all(site.folder.path);
+  EXPECT_EQ(CallOperators(site.old_operators, "DETACH s-1\n"), "NAK cannot be kept\n");
+  bool seen = false;
+  const auto until = std::chrono::steady_clock::now() + kGiveUp;
+  while (!seen && std::chrono::steady_clock::now() < until) {
+    Client(site.address).Ask(Look());
+    seen = !site.one.seen.Get().requests.empty();
+  }
+  EXPECT_TRUE(seen) << "and nothing has changed";
+}
+
 }  // namespace
 }  // namespace brackenspoke::testing
