Take new settings at SIGHUP whole or not at all

At fault: ReloadDiscovery, which read one key of a file that it did not check.

Open requests keep theirs; the module is told by an event which class is which.

--- a/include/brackenspoke/balancer.h
+++ b/include/brackenspoke/balancer.h
@@ -129,8 +129,14 @@
 struct Sharing {
   int processes = 1;
 };
+// Other settings bind from here on. Requests that are open keep the rules of their class as they were.
+struct NewSettings {
+  std::shared_ptr<const Settings> settings;
+  // The index that each class and each tenant of them had before; -1: it is new.
+  std::vector<int> classes_before, tenants_before;
+};
 using Event = std::variant<ListUpdate, Submit, StreamStarted, AttemptEnded, ClientGone, TimerFired, Detach,
-                           Attach, Sharing>;
+                           Attach, Sharing, NewSettings>;
 
 // ---- actions ------------------------------------------------------------------------------------------
 struct Dispatch {
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -194,7 +194,7 @@
   }
 
   bool InGroup(const Request& r, const Server& anchor, const Server& s) const {
-    switch (settings_.classes[r.cls].group) {
+    switch (r.rules.group) {
       case Group::kAll:
         return true;
       case Group::kZone:
@@ -306,7 +306,7 @@
   // crossing kept every request there while other zones stood idle (incident ib02092). The price counts in
   // the share of picks that this finding leaves.
   void LearnZone(const Request& r, const Server& s, bool in_time, bool ok) {
-    const double lost = in_time ? 0 : ok ? 1 - settings_.classes[r.cls].late_worth : 1;
+    const double lost = in_time ? 0 : ok ? 1 - r.rules.late_worth : 1;
     const bool home = s.entry.zone == settings_.zone;
     double& seen = home ? lost_home_ : lost_away_;
     seen += kZoneGain * (lost - seen);
@@ -361,14 +361,13 @@
   Permission Permitted(const Request& r) const {
     Permission may;
     if (r.finished || r.streaming) return may;
-    const ClassSettings& c = settings_.classes[r.cls];
+    const ClassSettings& c = r.rules;
     const Attempt* first_run = nullptr;
     for (const Attempt& a : r.attempts) {
       if (a.may_have_run && !first_run) first_run = &a;
     }
     const int outstanding = r.outstanding();
-    may.dispatch =
-        now_ < r.due && static_cast<int>(r.attempts.size()) < settings_.max_attempts && outstanding == 0;
+    may.dispatch = now_ < r.due && static_cast<int>(r.attempts.size()) < r.most_attempts && outstanding == 0;
     may.refuse = true;
     if (!first_run || c.effect == Effect::kSafe) return may;
     may.refuse = c.effect == Effect::kKeyed && c.group == Group::kAll;
@@ -399,11 +398,11 @@
   // owed them for longer than this class takes by mean + kDeviations deviations. Timing out what was merely
   // late doubled its work on every site. Zero also where no repeat is permitted or would come in time.
   Duration TimeoutFor(const Request& r, const Server& s) const {
-    const ClassSettings& c = settings_.classes[r.cls];
+    const ClassSettings& c = r.rules;
     const Spread& seen = classes_[r.cls].latency;
     if (c.effect == Effect::kUnsafe || seen.samples < kYoung || s.own_count == 0 || retry_tokens_ < 1)
       return Duration(0);
-    if (static_cast<int>(r.attempts.size()) + 1 >= settings_.max_attempts) return Duration(0);
+    if (static_cast<int>(r.attempts.size()) + 1 >= r.most_attempts) return Duration(0);
     const Duration repeat((seen.mean + seen.deviation) * WorkScale(r));
     const Duration unlikely = Unlikely(r);
     if (now_ - s.quiet_since < unlikely || now_ + unlikely + repeat > r.due) return Duration(0);
@@ -481,7 +480,7 @@
     outcomes_ = std::min(kYoung, outcomes_ + 1);
     if (ok) served_work_ += r.work, ++answered_;
     const double took = std::min(e.took, ok ? e.took : Unlikely(r)).count();
-    LearnZone(r, s, ok && now_ <= r.arrived + settings_.classes[r.cls].aim, ok);
+    LearnZone(r, s, ok && now_ <= r.arrived + r.rules.aim, ok);
     // A time-out of a server that has answered others since then is an answer lost on the way: it tells no
     // pace. Of one that has not, it tells that an answer hardly comes any more, and the class is as slow as
     // that.
@@ -496,11 +495,10 @@
       s.slowness_at = now_;
     }
     if (timed && stretch_ > 0 && took > 0) {
-      const double usual = std::min(stretch_ * std::max(r.work, request_work_.mean / 2),
-                                    0.5 * settings_.classes[r.cls].aim.count());
+      const double usual =
+          std::min(stretch_ * std::max(r.work, request_work_.mean / 2), 0.5 * r.rules.aim.count());
       crowding_ += kCrowdingGain * (std::min(took / usual, kMostCrowding) - crowding_);
-      of_aim_ +=
-          kCrowdingGain * (std::min(took / settings_.classes[r.cls].aim.count(), kMostCrowding) - of_aim_);
+      of_aim_ += kCrowdingGain * (std::min(took / r.rules.aim.count(), kMostCrowding) - of_aim_);
     }
     if (ok && r.work >= request_work_.mean && took > 0) {
       const double x = took / r.work;
@@ -555,7 +553,7 @@
   bool Throttled(const Request& r) {
     const double pressure = Pressure();
     if (!fleet_.thin || pressure <= 1) return false;
-    const bool over_share = r.value < settings_.classes[r.cls].worth;
+    const bool over_share = r.value < r.rules.worth;
     return random_.Unit() > std::pow(pressure, over_share ? -4 : -2);
   }
 
@@ -600,7 +598,9 @@
       return;
     }
     r.cls = e.request_class;
-    const ClassSettings& c = settings_.classes[r.cls];
+    r.rules = settings_.classes[e.request_class];
+    r.most_attempts = settings_.max_attempts;
+    const ClassSettings& c = r.rules;
     const Duration aim = c.aim - Elapsed(e);
     const bool hinted = e.has_hint && std::isfinite(e.work_ms) && e.work_ms > 0;
     r.work = hinted ? std::min(e.work_ms, kMostWork) : request_work_.samples > 0 ? request_work_.mean : 1;
@@ -627,9 +627,7 @@
 
   // Exception, where clients listen: one whose aim could not be met would come back only to be late, and take
   // the place of one in time. It is told to stay away for as long as it would have come back.
-  Duration StayAway(const Request& r) const {
-    return std::min(settings_.max_retry_after, settings_.classes[r.cls].deadline);
-  }
+  Duration StayAway(const Request& r) const { return std::min(settings_.max_retry_after, r.rules.deadline); }
 
   // Sends the request or holds it; true if sent.
   bool Place(Request& r) {
@@ -781,6 +779,36 @@
     ListChanged();
   }
 
+  // What was learnt of a class goes on under its new index; that of one which is gone stays behind the others
+  // while requests of it are open.
+  void On(const NewSettings& e) {
+    const Settings before = std::exchange(settings_, *e.settings);
+    std::vector<ClassState> states(settings_.classes.size());
+    std::vector<int> moved(classes_.size(), -1);
+    for (std::size_t i = 0; i < states.size() && i < e.classes_before.size(); ++i) {
+      const int from = e.classes_before[i];
+      if (from < 0 || from >= static_cast<int>(before.classes.size())) continue;
+      states[i] = classes_[from];
+      moved[from] = static_cast<int>(i);
+    }
+    for (auto& [id, r] : requests_) {
+      int& to = moved[r.cls];
+      if (to < 0) {
+        to = static_cast<int>(states.size());
+        states.push_back(classes_[r.cls]);
+      }
+      r.cls = to;
+    }
+    classes_ = std::move(states);
+    std::vector<double> tokens(settings_.tenants.size(), 1);
+    for (std::size_t i = 0; i < tokens.size() && i < e.tenants_before.size(); ++i) {
+      const int from = e.tenants_before[i];
+      if (from >= 0 && from < static_cast<int>(tenant_tokens_.size())) tokens[i] = tenant_tokens_[from];
+    }
+    tenant_tokens_ = std::move(tokens);
+    ListChanged();
+  }
+
   void On(const Sharing& e) { processes_ = std::max(1, e.processes); }
 
   // Servers that are listed, and that are in service; a cold one counts as its share.
--- a/src/measures.h
+++ b/src/measures.h
@@ -144,7 +144,9 @@
 
 struct Request {
   RequestId id = 0;
-  int cls = 0;
+  int cls = 0;          // whose times it adds to
+  ClassSettings rules;  // of its class as it came
+  int most_attempts = 1;
   double work = 1;
   double value = 0;
   std::uint64_t key = 0;
--- a/src/proxy/backends.cpp
+++ b/src/proxy/backends.cpp
@@ -245,6 +245,11 @@
   Renew(backend);
 }
 
+void Backends::SetTimes(Duration connect_timeout, Duration conn_idle) {
+  limits_.connect_timeout = connect_timeout;
+  limits_.conn_idle = conn_idle;
+}
+
 void Backends::Shrink(std::size_t connections) {
   while (open_ > connections && CloseOldestIdle()) {
   }
--- a/src/proxy/backends.h
+++ b/src/proxy/backends.h
@@ -62,6 +62,9 @@
   // One attempt. `done` is called once, never from within this call, and not after the destructor.
   void Send(ServerId server, HttpRequest request, Duration timeout, AttemptDone done);
 
+  // From the next connections on.
+  void SetTimes(Duration connect_timeout, Duration conn_idle);
+
   std::size_t connections() const { return open_; }
   std::size_t opened() const { return opened_; }  // since the start
 
--- a/src/proxy/clients.cpp
+++ b/src/proxy/clients.cpp
@@ -90,8 +90,9 @@
 
 }  // namespace
 
-std::optional<Complaint> Understand(HttpRequest message, Steady::time_point read_at, const Config& config,
-                                    ClientRequest* request) {
+std::optional<Complaint> Understand(HttpRequest message, Steady::time_point read_at,
+                                    std::shared_ptr<const Config> in_force, ClientRequest* request) {
+  const Config& config = *in_force;
   const auto bad = [](const char* what) { return Complaint{http::status::bad_request, what}; };
   if (message.chunked() && !boost::beast::iequals(message[http::field::transfer_encoding], "chunked"))
     return Complaint{http::status::not_implemented, "unknown Transfer-Encoding"};
@@ -135,6 +136,7 @@
   message.version(11);
   message.prepare_payload();
   request->message = std::move(message);
+  request->config = std::move(in_force);
   return std::nullopt;
 }
 
@@ -276,7 +278,7 @@
                          : Plain(http::status::service_unavailable, "not ready\n"));
     }
     ClientRequest request;
-    if (const auto complaint = Understand(std::move(message), at, owner_->config_, &request))
+    if (const auto complaint = Understand(std::move(message), at, owner_->handler_.InForce(), &request))
       return Write(Plain(complaint->status, complaint->text + '\n'));
     if (owner_->stopping_) request.due = std::min(request.due, owner_->end_ - kLastAnswers);
     state_ = State::kHeld;
@@ -355,10 +357,10 @@
   bool draining_ = false;
 };
 
-Clients::Clients(asio::io_context& io, const Config& config, std::function<std::size_t()> most_connections,
-                 RequestHandler& handler)
+Clients::Clients(asio::io_context& io, const Tcp::endpoint& address,
+                 std::function<std::size_t()> most_connections, RequestHandler& handler)
     : io_(io),
-      config_(config),
+      address_(address),
       most_connections_(std::move(most_connections)),
       handler_(handler),
       acceptor_(io),
@@ -367,12 +369,12 @@
       grace_(io) {}
 
 void Clients::Open() {
-  acceptor_.open(config_.listen.protocol());
+  acceptor_.open(address_.protocol());
   acceptor_.set_option(Tcp::acceptor::reuse_address(true));  // restarts come on the same address
   // Where there is no such option no other process can listen beside this one, which is no reason to end.
   const int on = 1;
   ::setsockopt(acceptor_.native_handle(), SOL_SOCKET, SO_REUSEPORT, &on, sizeof on);
-  acceptor_.bind(config_.listen);
+  acceptor_.bind(address_);
   acceptor_.listen();
   acceptor_.non_blocking(true);
   Accept();
--- a/src/proxy/clients.h
+++ b/src/proxy/clients.h
@@ -30,6 +30,7 @@
   std::uint64_t key = 0;
   bool has_hint = false, client_retry = false;
   double work_ms = 0;
+  std::shared_ptr<const Config> config;  // in force when it came
 };
 
 struct Complaint {
@@ -38,8 +39,8 @@
 };
 
 // Understands the headers of a request whose last byte was read at `read_at`; a complaint if it can't.
-std::optional<Complaint> Understand(HttpRequest message, Steady::time_point read_at, const Config& config,
-                                    ClientRequest* request);
+std::optional<Complaint> Understand(HttpRequest message, Steady::time_point read_at,
+                                    std::shared_ptr<const Config> in_force, ClientRequest* request);
 
 // Where the one answer to a request goes.
 class Responder {
@@ -57,13 +58,14 @@
   virtual RequestId OnRequest(ClientRequest request, std::shared_ptr<Responder> responder) = 0;
   virtual void OnClientGone(RequestId request) = 0;
   virtual bool Ready() const = 0;  // clients may come
+  virtual std::shared_ptr<const Config> InForce() const = 0;
 };
 
 class Clients {
  public:
   // `most_connections` tells how many there may be, now.
-  Clients(boost::asio::io_context& io, const Config& config, std::function<std::size_t()> most_connections,
-          RequestHandler& handler);
+  Clients(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address,
+          std::function<std::size_t()> most_connections, RequestHandler& handler);
   ~Clients();
   Clients(const Clients&) = delete;
   Clients& operator=(const Clients&) = delete;
@@ -107,7 +109,7 @@
   void Shut();
 
   boost::asio::io_context& io_;
-  const Config& config_;
+  boost::asio::ip::tcp::endpoint address_;
   std::function<std::size_t()> most_connections_;
   RequestHandler& handler_;
   boost::asio::ip::tcp::acceptor acceptor_;
--- a/src/proxy/config.cpp
+++ b/src/proxy/config.cpp
@@ -4,9 +4,12 @@
 #include <algorithm>
 #include <cctype>
 #include <charconv>
+#include <cmath>
 #include <fstream>
 #include <iterator>
 #include <nlohmann/json.hpp>
+#include <set>
+#include <utility>
 
 #include "settings.h"
 
@@ -83,6 +86,64 @@
   return seed;
 }
 
+// A number, not one in words; the parser turns those down that are too large.
+void CheckAboveZero(const json& object, const char* name, const std::string& path) {
+  const auto found = object.find(name);
+  if (found == object.end()) throw BadConfig("setting absent: " + path + name);
+  if (!found->is_number() || !(found->get<double>() > 0) || !std::isfinite(found->get<double>()))
+    throw BadConfig("setting is no number above 0: " + path + name);
+}
+
+void CheckNumbers(const json& settings) {
+  const auto classes = settings.find("classes");
+  if (classes != settings.end() && classes->is_array()) {
+    for (std::size_t i = 0; i < classes->size(); ++i)
+      CheckAboveZero((*classes)[i], "deadlineMs", "classes." + std::to_string(i) + ".");
+  }
+  if (const auto allowed = settings.find("permissions"); allowed != settings.end())
+    CheckAboveZero(*allowed, "maxAttempts", "permissions.");
+}
+
+// Keys that the documents let a file leave out.
+bool MayBeAbsent(const std::string& key) {
+  static const std::set<std::string> kOptional{"known", "aimStretch", "passesDeadline", "warmKeys", "fleet"};
+  return kOptional.contains(key);
+}
+
+// A key that `before` has and `now` lacks; empty if there is none.
+std::string MissingKey(const json& before, const json& now, const std::string& path) {
+  if (!before.is_object()) return "";
+  for (const auto& [key, inner] : before.items()) {
+    const auto found = now.find(key);
+    if (found == now.end()) {
+      if (MayBeAbsent(key)) continue;
+      return path + key;
+    }
+    if (found->is_null() != inner.is_null() || found->is_object() != inner.is_object() ||
+        found->is_array() != inner.is_array())
+      return path + key;
+    if (std::string missing = MissingKey(inner, *found, path + key + "."); !missing.empty()) return missing;
+    if (!inner.is_array() || inner.empty() || !inner.front().is_object()) continue;
+    // Of a list of objects each has what all have had.
+    json common = inner.front();
+    for (const json& item : inner) {
+      for (auto it = common.begin(); it != common.end();)
+        it = item.contains(it.key()) ? ++it : common.erase(it);
+    }
+    for (std::size_t i = 0; i < found->size(); ++i) {
+      const std::string at = path + key + "." + std::to_string(i);
+      if (!(*found)[i].is_object()) return at;
+      if (std::string missing = MissingKey(common, (*found)[i], at + "."); !missing.empty()) return missing;
+    }
+  }
+  return "";
+}
+
+std::shared_ptr<const json> WithoutKnown(json root) {
+  root.erase("known");
+  return std::make_shared<const json>(std::move(root));
+}
+
 Config Read(const json& root, const Environment& env) {
   Config config;
   const char* name = env("ROUTER_NAME");
@@ -97,6 +158,7 @@
   if (config.sockets < 64) throw BadConfig("limits.sockets is too small to serve");
 
   const json& settings = root.at("settings");
+  CheckNumbers(settings);
   std::string lines;
   Flatten(settings, "", &lines);
   config.settings = adapter::ParseSettings(lines);
@@ -120,6 +182,7 @@
     if (!list) throw BadConfig("known is no list: " + why);
     config.known = std::move(*list);
   }
+  config.file = WithoutKnown(root);
   return config;
 }
 
@@ -153,8 +216,29 @@
 
 Config LoadConfig(const Environment& env) { return ParseConfig(ReadFile(env), env); }
 
-Tcp::endpoint ReloadDiscovery(const Environment& env) {
-  return Parsed(ReadFile(env), [](const json& root) { return Address(nullptr, root, "discovery"); });
+Config Reconfigure(std::string_view text, const Config& current) {
+  return Parsed(text, [&](const json& root) {
+    if (const std::string missing = MissingKey(*current.file, root, ""); !missing.empty())
+      throw BadConfig("absent or of another kind: " + missing);
+    const Config fresh = Read(root, [](const char*) -> const char* { return nullptr; });
+    if (fresh.zones != current.zones || fresh.kinds != current.kinds ||
+        fresh.settings.must_ask_for_list != current.settings.must_ask_for_list)
+      throw BadConfig("zones, kinds and registryMode need a new start");
+    Config next = current;
+    next.known = {};  // long known
+    next.discovery = fresh.discovery;
+    next.settings = fresh.settings;
+    next.classes = fresh.classes;
+    next.tenants = fresh.tenants;
+    next.connect_timeout = fresh.connect_timeout;
+    next.conn_idle = fresh.conn_idle;
+    next.file = fresh.file;
+    return next;
+  });
+}
+
+Config ReloadConfig(const Environment& env, const Config& current) {
+  return Reconfigure(ReadFile(env), current);
 }
 
 }  // namespace brackenspoke::proxy
--- a/src/proxy/config.h
+++ b/src/proxy/config.h
@@ -7,6 +7,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
 #include <functional>
+#include <memory>
+#include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <stdexcept>
 #include <string>
@@ -37,6 +39,7 @@
   Duration connect_timeout{250};
   Duration conn_idle{15000};  // backends close what stands idle for this long
   MemberList known;
+  std::shared_ptr<const nlohmann::json> file;  // without what is known
 };
 
 // `text` is the configuration file; what the environment names goes before it.
@@ -46,9 +49,13 @@
 // Reads the file that ROUTER_CONFIG names.
 Config LoadConfig(const Environment& env);
 
-// Where discovery is by the file that ROUTER_CONFIG names now: what the environment says is
-// as old as the process.
-boost::asio::ip::tcp::endpoint ReloadDiscovery(const Environment& env);
+// The settings and discovery of a new file in place of those in force; the rest needs a new start, and what
+// the environment says is as old as the process. A file is taken whole or not at all: one that lacks a key
+// that the one in force has is not whole.
+Config Reconfigure(std::string_view text, const Config& current);
+
+// Of the file that ROUTER_CONFIG names now.
+Config ReloadConfig(const Environment& env, const Config& current);
 
 }  // namespace brackenspoke::proxy
 
--- a/src/proxy/main.cpp
+++ b/src/proxy/main.cpp
@@ -13,13 +13,14 @@
 
 const char* Env(const char* name) { return std::getenv(name); }
 
-// The platform has replaced the configuration file. One that cannot be read changes nothing.
-void FollowDiscovery(boost::asio::signal_set& hangups, brackenspoke::proxy::Proxy& proxy) {
+// The platform has replaced the configuration file. One that is not whole and right changes nothing.
+void FollowConfig(boost::asio::signal_set& hangups, brackenspoke::proxy::Proxy& proxy) {
   hangups.async_wait([&](const boost::system::error_code& failed, int) {
     if (failed) return;
-    FollowDiscovery(hangups, proxy);
+    FollowConfig(hangups, proxy);
     try {
-      proxy.MoveDiscovery(brackenspoke::proxy::ReloadDiscovery(Env));
+      proxy.Reconfigure(brackenspoke::proxy::ReloadConfig(Env, proxy.config()));
+      std::fprintf(stderr, "kestrelline: reloaded\n");
     } catch (const brackenspoke::proxy::BadConfig& error) {
       std::fprintf(stderr, "kestrelline: not reloaded: %s\n", error.what());
     }
@@ -46,7 +47,7 @@
     boost::asio::io_context io(1);
     boost::asio::signal_set hangups(io, SIGHUP);  // from here on it does not end the process
     brackenspoke::proxy::Proxy proxy(io, brackenspoke::proxy::LoadConfig(Env));
-    FollowDiscovery(hangups, proxy);
+    FollowConfig(hangups, proxy);
     boost::asio::signal_set signals(io, SIGTERM, SIGINT);
     signals.async_wait([&](const boost::system::error_code& failed, int) {
       if (!failed) proxy.Stop([&] { io.stop(); });
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -35,6 +35,16 @@
   return config.state_path.empty() ? "" : config.state_path + suffix;
 }
 
+// Of each name now, its index before; -1 if it had none.
+std::vector<int> IndicesBefore(const std::vector<std::string>& before, const std::vector<std::string>& now) {
+  std::vector<int> indices;
+  for (const std::string& name : now) {
+    const auto found = std::find(before.begin(), before.end(), name);
+    indices.push_back(found == before.end() ? -1 : static_cast<int>(found - before.begin()));
+  }
+  return indices;
+}
+
 // When SIGKILL may follow SIGTERM.
 Duration TimeToEnd(const Settings& settings) {
   Duration longest{0};
@@ -56,19 +66,19 @@
 
 Proxy::Proxy(boost::asio::io_context& io, Config config)
     : io_(io),
-      config_(std::move(config)),
-      overlap_(io, InState(config_, ".page")),
-      maintenance_(InState(config_, ".maintenance"), overlap_),
-      balancer_(config_.settings, config_.seed),
+      config_(std::make_shared<const Config>(std::move(config))),
+      overlap_(io, InState(*config_, ".page")),
+      maintenance_(InState(*config_, ".maintenance"), overlap_),
+      balancer_(config_->settings, config_->seed),
       armed_for_(kUnarmed),
       timer_(io),
       open_timer_(io) {
   backends_ = std::make_unique<Backends>(
-      io, Backends::Limits{config_.connect_timeout, config_.conn_idle, [this] { return MostBackends(); }});
+      io, Backends::Limits{config_->connect_timeout, config_->conn_idle, [this] { return MostBackends(); }});
   clients_ = std::make_unique<Clients>(
-      io, config_, [this] { return MostClients(); }, *this);
+      io, config_->listen, [this] { return MostClients(); }, *this);
   discovery_ = std::make_unique<Discovery>(
-      io, DiscoveryOptions(config_),
+      io, DiscoveryOptions(*config_),
       [this](const MemberList& list) {
         OnList(list, list.complete ? ListKind::kFull : ListKind::kDelta);
         if (!clients_->Listening()) OpenWhenListed();
@@ -77,9 +87,9 @@
         Feed(ListUpdate{ListKind::kFailed, {}});
       });
   ObeyMaintenance();
-  OnList(config_.known, ListKind::kCached);
-  listed_ = !config_.known.members.empty();
-  if (!config_.settings.must_ask_for_list) discovery_->Watch();
+  OnList(config_->known, ListKind::kCached);
+  listed_ = !config_->known.members.empty();
+  if (!config_->settings.must_ask_for_list) discovery_->Watch();
   if (overlap_.processes() == 1) {
     clients_->Open();
     overlap_.Listening();
@@ -89,7 +99,7 @@
       if (!cancelled && !clients_->Listening()) OpenWhenListed();
     });
   }
-  if (config_.operators) operators_ = std::make_unique<Operators>(io, *config_.operators, *this);
+  if (config_->operators) operators_ = std::make_unique<Operators>(io, *config_->operators, *this);
   overlap_.Watch([this] { OnLook(); });
 }
 
@@ -112,11 +122,23 @@
   const bool replaced = overlap_.OtherTakes();
   if (replaced) clients_->Steer(overlap_.OtherIsLater() ? 1 : 0);
   clients_->Stop(replaced ? kReplacedGrace : kStopGrace,
-                 Steady::now() + std::chrono::duration_cast<Steady::duration>(TimeToEnd(config_.settings)),
+                 Steady::now() + std::chrono::duration_cast<Steady::duration>(TimeToEnd(config_->settings)),
                  std::move(done));
   overlap_.SetTaking(false);
 }
 
+void Proxy::Reconfigure(Config config) {
+  const std::shared_ptr<const Config> before =
+      std::exchange(config_, std::make_shared<const Config>(std::move(config)));
+  NewSettings change;
+  change.settings = std::shared_ptr<const Settings>(config_, &config_->settings);
+  change.classes_before = IndicesBefore(before->classes, config_->classes);
+  change.tenants_before = IndicesBefore(before->tenants, config_->tenants);
+  Feed(std::move(change));
+  backends_->SetTimes(config_->connect_timeout, config_->conn_idle);
+  discovery_->MoveTo(config_->discovery);
+}
+
 void Proxy::OnLook() {
   if (maintenance_.Refresh()) ObeyMaintenance();
   overlap_.Seen(maintenance_.version());
@@ -134,20 +156,20 @@
 void Proxy::ShareLimits() {
   overlap_.Publish({clients_->connections(), backends_->connections(), 0});
   if (processes_ == 1) return;
-  const double fair = SharedDescriptors(config_, processes_) / processes_;
+  const double fair = SharedDescriptors(*config_, processes_) / processes_;
   clients_->Shrink(static_cast<std::size_t>(fair * kClientShare));
   backends_->Shrink(static_cast<std::size_t>(fair * (1 - kClientShare)));
 }
 
 std::size_t Proxy::MostClients() {
   overlap_.Publish({clients_->connections(), backends_->connections(), 0});
-  const double all = SharedDescriptors(config_, overlap_.processes());
+  const double all = SharedDescriptors(*config_, overlap_.processes());
   return Rest(all * kClientShare, overlap_.Others().clients);
 }
 
 std::size_t Proxy::MostBackends() {
   overlap_.Publish({clients_->connections(), backends_->connections(), 0});
-  const double all = SharedDescriptors(config_, overlap_.processes());
+  const double all = SharedDescriptors(*config_, overlap_.processes());
   return Rest(all * (1 - kClientShare), overlap_.Others().backends);
 }
 
@@ -275,8 +297,8 @@
     ServerEntry entry;
     entry.server = numbers_.Of(m.id);
     entry.zone = ZoneOf(m.zone);
-    const auto kind_name = std::find(config_.kinds.begin(), config_.kinds.end(), m.kind);
-    entry.kind = static_cast<int>(kind_name - config_.kinds.begin());
+    const auto kind_name = std::find(config_->kinds.begin(), config_->kinds.end(), m.kind);
+    entry.kind = static_cast<int>(kind_name - config_->kinds.begin());
     entry.cell = m.cell;
     entry.state = m.state;
     entry.weight = m.weight;
@@ -294,8 +316,8 @@
 
 // A zone that the settings don't name is a zone of its own, none of those that they do.
 int Proxy::ZoneOf(const std::string& name) const {
-  const auto found = std::find(config_.zones.begin(), config_.zones.end(), name);
-  if (found != config_.zones.end()) return static_cast<int>(found - config_.zones.begin());
+  const auto found = std::find(config_->zones.begin(), config_->zones.end(), name);
+  if (found != config_->zones.end()) return static_cast<int>(found - config_->zones.begin());
   return static_cast<int>(0x10000 + (StableHash(name) & 0x3fffffff));
 }
 
@@ -312,6 +334,7 @@
   submit.work_ms = request.work_ms;
   Pending& pending = pending_[id];
   pending.message = std::move(request.message);
+  pending.config = std::move(request.config);
   pending.due = request.due;
   pending.responder = std::move(responder);
   Feed(submit);
@@ -330,7 +353,7 @@
   // Numbered by the order of their Dispatch; one that cannot go out is over at once, and never ran.
   const int attempt = found == pending_.end() ? 0 : found->second.attempts++;
   if (found == pending_.end() || !found->second.responder || found->second.attempt_out ||
-      now >= found->second.due || attempt >= config_.settings.max_attempts) {
+      now >= found->second.due || attempt >= found->second.config->settings.max_attempts) {
     AttemptEnded end;
     end.request = action.request;
     end.attempt = attempt;
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -36,8 +36,9 @@
   Proxy(boost::asio::io_context& io, Config config);
   ~Proxy() override;
 
-  // Follows discovery to another address. Everything else of a configuration needs a new start.
-  void MoveDiscovery(const boost::asio::ip::tcp::endpoint& address) { discovery_->MoveTo(address); }
+  const Config& config() const { return *config_; }
+  // From now on; requests that are open keep what was in force when they came.
+  void Reconfigure(Config config);
 
   // Serves what comes for a while yet; `done` is called when nothing is held any more.
   void Stop(std::function<void()> done);
@@ -45,6 +46,7 @@
   RequestId OnRequest(ClientRequest request, std::shared_ptr<Responder> responder) override;
   void OnClientGone(RequestId request) override;
   bool Ready() const override;
+  std::shared_ptr<const Config> InForce() const override { return config_; }
   void OnCall(const OperatorCall& call, OnReply reply) override;
 
   boost::asio::ip::tcp::endpoint address() const { return clients_->address(); }
@@ -57,6 +59,7 @@
   // From its Submit until it has its answer and no attempt is out.
   struct Pending {
     HttpRequest message;
+    std::shared_ptr<const Config> config;
     Steady::time_point due{};
     std::shared_ptr<Responder> responder;  // null once answered
     int attempts = 0;
@@ -104,7 +107,7 @@
   void ArmTimer();
 
   boost::asio::io_context& io_;
-  Config config_;
+  std::shared_ptr<const Config> config_;  // in force
   ModuleClock clock_;
   Overlap overlap_;
   int processes_ = 1;  // that the module was told of
--- a/tests/maintenance_test.cpp
+++ b/tests/maintenance_test.cpp
@@ -111,5 +111,66 @@
   EXPECT_LT(shared, alone);
 }
 
+// ---- settings that change -----------------------------------------------------------------------------
+// The classes of Usual(): 0 safe, 1 keyed, 2 unsafe.
+NewSettings Change(std::vector<int> kept, int max_attempts = 4) {
+  Settings settings = Usual();
+  std::vector<ClassSettings> classes;
+  for (const int from : kept)
+    classes.push_back(from < 0 ? Class(Effect::kSafe) : settings.classes[static_cast<std::size_t>(from)]);
+  settings.classes = classes;
+  settings.max_attempts = max_attempts;
+  NewSettings change;
+  change.settings = std::make_shared<const Settings>(settings);
+  change.classes_before = std::move(kept);
+  return change;
+}
+
+TEST(SettingsChange, OpenRequestsKeepTheRulesOfTheirClass) {
+  Rig rig;
+  rig.Servers(3);
+  const auto unsafe = rig.Ask(1, 2);
+  const auto safe = rig.Ask(2, 0);
+  ASSERT_TRUE(unsafe && safe);
+  rig.Do(Change({2, 0}));  // 1 is dropped, the others change places
+  rig.End(1, 0, *unsafe, Outcome::kReset);
+  EXPECT_FALSE(rig.SentTo(1)) << "unsafe still, though its index is a safe class now";
+  EXPECT_EQ(rig.Count<Fail>(), 1);
+  rig.End(2, 0, *safe, Outcome::kReset);
+  EXPECT_TRUE(rig.SentTo(2));
+  const auto fresh = rig.Ask(3, 0);
+  ASSERT_TRUE(fresh);
+  rig.End(3, 0, *fresh, Outcome::kReset);
+  EXPECT_EQ(rig.Count<Fail>(), 1) << "the unsafe class has index 0 now";
+}
+
+TEST(SettingsChange, ARequestOfADroppedClassIsFinished) {
+  Rig rig;
+  rig.Servers(3);
+  const auto first = rig.Ask(1, 2);
+  ASSERT_TRUE(first);
+  rig.Do(Change({0}));
+  rig.Do(Change({0}));
+  rig.End(1, 0, *first, Outcome::kFull);
+  const auto second = rig.SentTo(1);
+  ASSERT_TRUE(second);
+  rig.End(1, 1, *second, Outcome::kOk);
+  EXPECT_FALSE(rig.Ask(2, 2)) << "the class is gone";
+  EXPECT_EQ(rig.Count<Refuse>(), 1);
+}
+
+TEST(SettingsChange, TheNumberOfAttemptsBindsForNewRequests) {
+  Rig rig;
+  rig.Servers(3);
+  const auto old = rig.Ask(1);
+  rig.Do(Change({0, 1, 2}, 1));
+  const auto fresh = rig.Ask(2);
+  ASSERT_TRUE(old && fresh);
+  rig.End(2, 0, *fresh, Outcome::kFull);
+  EXPECT_FALSE(rig.SentTo(2));
+  rig.End(1, 0, *old, Outcome::kFull);
+  EXPECT_TRUE(rig.SentTo(1));
+}
+
 }  // namespace
 }  // namespace brackenspoke::testing
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -550,7 +550,7 @@
   auto json = ConfigJson(backend.address(), {});
   json["settings"]["tenants"] = {{{"name", "acme"}, {"quotaPerS", 5.0}},
                                  {{"name", "bolt"}, {"quotaPerS", 5.0}}};
-  const auto config = ConfigOf(json);
+  const auto in_force = std::make_shared<const proxy::Config>(ConfigOf(json));
   HttpRequest message{http::verb::get, "/look", 11};
   message.set("Host", "service.internal");
   message.set("Req-Id", "1");
@@ -564,7 +564,7 @@
   message.set("X-End", "1");
   const auto at = proxy::Steady::now();
   proxy::ClientRequest request;
-  EXPECT_FALSE(proxy::Understand(message, at, config, &request));
+  EXPECT_FALSE(proxy::Understand(message, at, in_force, &request));
   EXPECT_EQ(request.request_class, 0);
   EXPECT_EQ(request.tenant, 1);
   EXPECT_TRUE(request.has_hint);
@@ -578,13 +578,13 @@
 
   proxy::ClientRequest other;
   message.set("Cookie", "obj=7f3a9c21e0b4d655");
-  EXPECT_FALSE(proxy::Understand(message, at, config, &other));
+  EXPECT_FALSE(proxy::Understand(message, at, in_force, &other));
   EXPECT_EQ(other.key, request.key);
   message.erase("Cookie");
-  EXPECT_FALSE(proxy::Understand(message, at, config, &other));
+  EXPECT_FALSE(proxy::Understand(message, at, in_force, &other));
   EXPECT_EQ(other.key, 0u);
   message.set("Req-Owner", "nobody");
-  EXPECT_TRUE(proxy::Understand(message, at, config, &other));
+  EXPECT_TRUE(proxy::Understand(message, at, in_force, &other));
 }
 
 TEST(Proxy, MoreClientsThanItMayHoldTakeThePlacesOfIdleOnes) {
