--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -704,6 +704,8 @@
     r.arrived = now_;
     r.due = e.due;
     if (r.outstanding() == 0) return;
+    Server& s = servers_[r.attempts.back().server];
+    if (s.own_count == 1) s.quiet_since = now_;
     r.attempts.back().sent_at = now_;
     Await(r);
   }
--- /dev/null
+++ b/tests/bodies_test.cpp
@@ -0,0 +1,74 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// The module's part in bodies that are passed on: what is in flight, and what may be sent again.
+#include <gtest/gtest.h>
+
+#include "harness.h"
+
+namespace brackenspoke::testing {
+namespace {
+
+Submit Upload(const Rig& rig, RequestId id, double patience = 1000) {
+  Submit s;
+  s.request = id;
+  s.request_class = 2;
+  s.uploading = true;
+  s.has_hint = true;
+  s.work_ms = 10;
+  s.due = At(rig.now + patience);
+  return s;
+}
+
+// One server, and a proxy so young that it has two requests in flight at most.
+TEST(Bodies, AnUploadIsNoWorkInFlightBeforeItsLastByte) {
+  Rig rig;
+  rig.Servers(1);
+  for (RequestId id = 1; id <= 5; ++id) {
+    rig.Do(Upload(rig, id));
+    EXPECT_TRUE(rig.SentTo(id)) << id;
+  }
+  EXPECT_TRUE(rig.Ask(6));
+  rig.Do(Uploaded{1, At(rig.now + 1000)});
+  EXPECT_FALSE(rig.Ask(7)) << "two are in flight";
+  rig.End(1, 0, 1, Outcome::kOk);
+  EXPECT_TRUE(rig.SentTo(7));
+}
+
+TEST(Bodies, AnAnswerThatHasBegunLeavesItsPlace) {
+  Rig rig;
+  rig.Servers(1);
+  EXPECT_TRUE(rig.Ask(1));
+  EXPECT_TRUE(rig.Ask(2));
+  EXPECT_FALSE(rig.Ask(3));
+  rig.Do(StreamStarted{1, 0});
+  EXPECT_TRUE(rig.SentTo(3));
+}
+
+TEST(Bodies, ARequestsTimeCountsFromItsLastByte) {
+  Rig rig;
+  rig.Servers(2);
+  rig.Do(Upload(rig, 1, 100));
+  const auto first = rig.SentTo(1);
+  ASSERT_TRUE(first);
+  rig.now += 5000;
+  rig.Do(Uploaded{1, At(rig.now + 1000)});
+  rig.End(1, 0, *first, Outcome::kFull);
+  EXPECT_TRUE(rig.SentTo(1)) << "there is time for another";
+}
+
+TEST(Bodies, WhatIsNotToBeHadAgainIsNotSentAgain) {
+  Rig rig;
+  rig.Servers(2);
+  rig.Do(Upload(rig, 1));
+  AttemptEnded end;
+  end.request = 1;
+  end.server = rig.SentTo(1).value_or(0);
+  end.outcome = Outcome::kConnectFailed;
+  end.repeatable = false;
+  rig.Do(end);
+  EXPECT_FALSE(rig.SentTo(1));
+  EXPECT_EQ(rig.Count<Refuse>(), 1) << "it never ran";
+}
+
+}  // namespace
+}  // namespace brackenspoke::testing
