Keep no pointer to the buffers in a message that has given its memory back

Under AddressSanitizer 7 tests read freed memory at the end: a session that outlives the proxy, in the event loop's queue, released its part of Buffers a second time (Hold::Release, body.h). A Hold forgets its owner now when it is released or moved from. The descriptors that the system allows bind where they are fewer than the configuration tells; without that the sanitizer's own checks failed for want of one.

--- a/src/proxy/body.h
+++ b/src/proxy/body.h
@@ -60,11 +60,12 @@
     Hold() = default;
     explicit Hold(Buffers& owner) : owner_(&owner) {}
     ~Hold() { Release(); }
-    Hold(Hold&& other) noexcept : owner_(other.owner_), size_(std::exchange(other.size_, 0)) {}
+    Hold(Hold&& other) noexcept
+        : owner_(std::exchange(other.owner_, nullptr)), size_(std::exchange(other.size_, 0)) {}
     Hold& operator=(Hold&& other) noexcept {
       if (this != &other) {
         Release();
-        owner_ = other.owner_;
+        owner_ = std::exchange(other.owner_, nullptr);
         size_ = std::exchange(other.size_, 0);
       }
       return *this;
@@ -76,8 +77,10 @@
       size_ += n;
       return true;
     }
+    // For good.
     void Release() {
       if (owner_) owner_->held_ -= std::exchange(size_, 0);
+      owner_ = nullptr;
     }
 
    private:
--- a/src/proxy/config.cpp
+++ b/src/proxy/config.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "config.h"
 
+#include <sys/resource.h>
+
 #include <algorithm>
 #include <cctype>
 #include <charconv>
@@ -220,7 +222,13 @@
   return Parsed(text, [&](const json& root) { return Read(root, env); });
 }
 
-Config LoadConfig(const Environment& env) { return ParseConfig(ReadFile(env), env); }
+Config LoadConfig(const Environment& env) {
+  Config config = ParseConfig(ReadFile(env), env);
+  rlimit allowed{};
+  if (::getrlimit(RLIMIT_NOFILE, &allowed) == 0 && allowed.rlim_cur < static_cast<rlim_t>(config.sockets))
+    config.sockets = static_cast<int>(allowed.rlim_cur);
+  return config;
+}
 
 Config Reconfigure(std::string_view text, const Config& current) {
   return Parsed(text, [&](const json& root) {
--- a/src/proxy/config.h
+++ b/src/proxy/config.h
@@ -47,7 +47,7 @@
 using Environment = std::function<const char*(const char*)>;
 Config ParseConfig(std::string_view text, const Environment& env);
 
-// Reads the file that ROUTER_CONFIG names.
+// Reads the file that ROUTER_CONFIG names. The system may allow fewer descriptors than that tells.
 Config LoadConfig(const Environment& env);
 
 // The settings and discovery of a new file in place of those in force; the rest needs a new start, and what
