--- /dev/null
+++ b/tests/limit_test.cpp
@@ -0,0 +1,78 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// How the limit of the whole proxy follows what is asked of it.
+#include <gtest/gtest.h>
+
+#include <deque>
+
+#include "harness.h"
+
+namespace brackenspoke::testing {
+namespace {
+
+// Requests come evenly, each answered after its time.
+class Traffic {
+ public:
+  explicit Traffic(Rig& rig) : rig_(rig) {}
+
+  // Returns how many were sent at once.
+  int Play(double ms, int per_10_ms, double service_ms = 50) {
+    int sent = 0;
+    for (const double end = rig_.now + ms; rig_.now < end; rig_.now += 10) {
+      Answer();
+      for (int i = 0; i < per_10_ms; ++i) {
+        const RequestId id = ++last_;
+        const auto server = rig_.Ask(id);
+        sent += server.has_value();
+        if (server) out_.push_back({rig_.now + service_ms, id, *server, service_ms});
+      }
+    }
+    return sent;
+  }
+
+ private:
+  struct Out {
+    double at;
+    RequestId id;
+    ServerId server;
+    double took;
+  };
+  void Answer() {
+    while (!out_.empty() && out_.front().at <= rig_.now) {
+      const Out done = out_.front();
+      out_.pop_front();
+      rig_.End(done.id, 0, done.server, Outcome::kOk, done.took);
+      for (const Action& a : rig_.actions) {  // a request that had waited
+        if (const auto* d = std::get_if<Dispatch>(&a))
+          out_.push_back({rig_.now + done.took, d->request, d->server, done.took});
+      }
+    }
+  }
+
+  Rig& rig_;
+  RequestId last_ = 0;
+  std::deque<Out> out_;
+};
+
+TEST(Limit, IsNotForgottenWhileNothingIsAskedFor) {
+  Rig rig;
+  rig.Servers(4);
+  Traffic traffic(rig);
+  traffic.Play(5000, 2);
+  EXPECT_EQ(traffic.Play(500, 2), 100);
+  traffic.Play(100, 0);  // the last answers
+  for (int i = 0; i < 50; ++i) rig.Tick(100);
+  EXPECT_EQ(traffic.Play(50, 2), 10) << "as many as were in flight before";
+}
+
+TEST(Limit, OfAYoungProxyFollowsWhatIsAnswered) {
+  Rig rig;
+  rig.Servers(4);
+  for (int i = 0; i < 30; ++i) rig.Tick(100);  // nobody has come yet
+  Traffic traffic(rig);
+  traffic.Play(400, 8, 20);
+  EXPECT_GT(rig.sent.size(), 250u) << "of 320";
+}
+
+}  // namespace
+}  // namespace brackenspoke::testing
