--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -947,10 +947,6 @@
       const double rate = settings_.tenants[t].quota_per_s / settings_.balancers / 1000;
       tenant_tokens_[t] = std::min(std::max(1.0, rate * 2000), tenant_tokens_[t] + rate * elapsed);
     }
-    std::fprintf(
-        stderr, "DBG rate %.3f inflight %zu held %zu crowd %.2f stretch %.3f mean %.1f listed %.1f in %.1f\n",
-        served_rate_, awaited_.size(), held_.size(), crowding_, stretch_, request_work_.mean, listed_,
-        in_service_);
     sampled_at_ = now_;
     sample_at_ = now_ + kHousekeeping;
     room_ = true;  // cold budgets have moved on
