In a crowd let connections that had their answer give way before slow senders

At fault: MakeRoom() took whoever had been silent for longest, and a slow sender's pauses make it that. Those that had an answer and stand idle go first, then whoever is silent.

--- a/src/proxy/clients.cpp
+++ b/src/proxy/clients.cpp
@@ -25,6 +25,7 @@
     1000};                                             // before the end of a stop: nothing is begun any more
 constexpr std::chrono::milliseconds kFirstBytes{500};  // of a request, after it was connected for
 constexpr std::chrono::milliseconds kSilent{250};  // within a request, after which it may give way to others
+constexpr double kCrowded = 0.75;                  // of the connections there may be, over which none is kept
 constexpr int kAtOnce = 32;                        // connections accepted before others have their turn
 
 }  // namespace
@@ -129,12 +130,14 @@
   }
 }
 
-// Whoever has been silent for longest gives way: an idle one, or one that has stopped half way.
+// Whoever has been silent for longest gives way: of those that have had an answer and stand idle, or else of
+// all that are silent. A slow client's first request may be on its way.
 bool Clients::MakeRoom() {
   const auto silent = Steady::now() - kSilent;
-  const auto found = std::find_if(sessions_.begin(), sessions_.end(), [silent](const auto& session) {
-    return session->Idle() || session->StoppedSince(silent);
-  });
+  const auto first = [this](auto test) { return std::find_if(sessions_.begin(), sessions_.end(), test); };
+  auto found = first([](const auto& s) { return s->Answered() && s->Idle(); });
+  if (found == sessions_.end()) found = first([silent](const auto& s) { return s->StoppedSince(silent); });
+  if (found == sessions_.end()) found = first([](const auto& s) { return s->Idle(); });
   if (found == sessions_.end()) return false;
   const auto session = *found;
   session->Close();
--- a/src/proxy/session.cpp
+++ b/src/proxy/session.cpp
@@ -348,8 +348,9 @@
 void Clients::Session::BeginAnswer() {
   state_ = State::kWriting;
   on_piece_ = nullptr;
-  // Of a request that has not come whole, nobody waits for the rest.
-  last_ |= owner_->draining_ || std::exchange(following_, false);
+  last_ |= owner_->draining_;
+  last_ |=
+      std::exchange(following_, false);  // of a request that has not come whole, nobody waits for the rest
   response_.keep_alive(!last_);
   serializer_.emplace(response_);
   Error ignored;
@@ -393,6 +394,7 @@
   hold_.Release();
   serializer_.reset();
   if (last_) return CloseGently();
+  answered_ = true;
   Read();
   if (owner_ && owner_->waiting_for_room_) owner_->Accept();
 }
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -33,6 +33,8 @@
   // Between requests, with none on its way as far as can be seen.
   bool Idle();
   bool IdleSince(Steady::time_point before) { return quiet_since_ <= before && Idle(); }
+  // Has had an answer.
+  bool Answered() const { return answered_; }
   bool Reading() const { return state_ == State::kReading; }
   // Within a request that has not come whole, of which nothing has been seen since then.
   bool StoppedSince(Steady::time_point before) const { return Reading() && heard_at_ <= before; }
@@ -117,6 +119,7 @@
   bool ends_with_connection_ = false;
   bool last_ = false;  // the connection closes after this answer
   bool draining_ = false;
+  bool answered_ = false;  // a request on this connection
 };
 
 }  // namespace brackenspoke::proxy
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -523,6 +523,27 @@
   EXPECT_EQ(client.Read().result_int(), 200u) << "two that came together";
 }
 
+// 64 descriptors leave room for 14 clients.
+TEST(Proxy, InACrowdIdleConnectionsGiveWayBeforeSlowClients) {
+  Backend backend;
+  Site site(Members(MemberJson("s-1", backend.address())));
+  site.config["limits"]["sockets"] = 64;
+  site.Start();
+  const std::string request = Look();
+  Client slow(site.proxy->address);
+  slow.Send(request.substr(0, 10));
+  std::vector<std::unique_ptr<Client>> crowd;
+  for (int i = 0; i < 13; ++i) {
+    crowd.push_back(std::make_unique<Client>(site.proxy->address));
+    EXPECT_EQ(crowd.back()->Ask(Look()).result_int(), 200u);
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(400));  // the slow one has been silent for long
+  for (int i = 0; i < 20; ++i) EXPECT_EQ(Client(site.proxy->address).Ask(Look()).result_int(), 200u);
+  EXPECT_TRUE(crowd.front()->Ended()) << "the longest idle gave way";
+  slow.Send(request.substr(10));
+  EXPECT_EQ(slow.Read().result_int(), 200u);
+}
+
 TEST(Understand, ReadsWhatTheModuleIsTold) {
   Backend backend;
   auto json = ConfigJson(backend.address(), {});
