--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -52,8 +52,10 @@
 constexpr double kWindowMargin = 0.9;       // of the window in which a keyed repeat is dropped
 constexpr double kQueueShare = 0.33;        // of the aim that an attempt may take, in the mean
 constexpr double kChance = 1;               // deviations of the number in flight that are no overload
-constexpr double kCrowding = 3;        // and of what a mean request takes at servers that are not crowded
-constexpr Duration kGoodMemory{1500};  // averaging of the work answered, for the limit of the whole proxy
+constexpr double kCrowding = 3;            // and of what a mean request takes at servers that are not crowded
+constexpr Duration kGoodMemory{1500};      // averaging of the work answered, for the limit of the whole proxy
+constexpr Duration kUnaskedMemory{30000};  // of it while less is asked for
+constexpr double kYoungGain = 0.7;         // of a sample that shows a young proxy more than it knew
 constexpr double kAimShare = 0.7;      // of their aims that answers may take in the mean: the rest is spread
 constexpr double kAtEase = 0.7;        // of the pressure at which the throttle starts
 constexpr double kComfort = 2.5;       // times the uncrowded time, up to which all is let in
@@ -184,7 +186,7 @@
 
  private:
   // ---- 3. Pick ----------------------------------------------------------------------------------------
-  bool Usable(const Server& s) const { return s.entry.state == ServerState::kReady; }
+  bool Usable(const Server& s) const { return s.entry.state == ServerState::kReady && !s.detached; }
 
   ServerIndex IndexOf(const Server& s) const { return static_cast<ServerIndex>(&s - servers_.data()); }
 
@@ -194,7 +196,7 @@
   }
 
   bool InGroup(const Request& r, const Server& anchor, const Server& s) const {
-    switch (settings_.classes[r.cls].group) {
+    switch (r.rules.group) {
       case Group::kAll:
         return true;
       case Group::kZone:
@@ -306,7 +308,7 @@
   // crossing kept every request there while other zones stood idle (incident ib02092). The price counts in
   // the share of picks that this finding leaves.
   void LearnZone(const Request& r, const Server& s, bool in_time, bool ok) {
-    const double lost = in_time ? 0 : ok ? 1 - settings_.classes[r.cls].late_worth : 1;
+    const double lost = in_time ? 0 : ok ? 1 - r.rules.late_worth : 1;
     const bool home = s.entry.zone == settings_.zone;
     double& seen = home ? lost_home_ : lost_away_;
     seen += kZoneGain * (lost - seen);
@@ -318,8 +320,9 @@
   // ---- 4. Cold-start budget ---------------------------------------------------------------------------
   // The share of its capacity that a server has at least.
   double WarmShare(const Server& s) const {
-    if (s.entry.up_since.time_since_epoch().count() <= 0) return 1;
-    const double age = (now_ - s.entry.up_since).count();
+    const TimePoint up_since = std::max(s.entry.up_since, s.attached_at);
+    if (up_since.time_since_epoch().count() <= 0) return 1;
+    const double age = (now_ - up_since).count();
     const double warm_up = settings_.warm_up.count();
     if (warm_up <= 0 || age >= warm_up) return 1;
     return settings_.cold_from + (1 - settings_.cold_from) * std::max(0.0, age) / warm_up;
@@ -335,9 +338,10 @@
     if (share >= 1) return true;
     const Duration window = settings_.overload_for * kWindowSlack;
     const double sent = s.sent.Within(now_, window);
-    const double rate = kColdCaution * settings_.fall_multiple * share * warm_rate_;
+    const double rate = kColdCaution * settings_.fall_multiple * share * warm_rate_ / processes_;
     if (sent + work <= rate * settings_.overload_for.count()) return true;
-    const double least = settings_.fall_multiple * settings_.cold_from * kColdLeast / settings_.balancers;
+    const double least =
+        settings_.fall_multiple * settings_.cold_from * kColdLeast / (settings_.balancers * processes_);
     const double paid = std::max(rate, least);
     return paid > 0 && now_ - s.turn_since >= s.turn_phase * std::max(window, Duration(work / paid));
   }
@@ -359,14 +363,14 @@
   Permission Permitted(const Request& r) const {
     Permission may;
     if (r.finished || r.streaming) return may;
-    const ClassSettings& c = settings_.classes[r.cls];
+    const ClassSettings& c = r.rules;
     const Attempt* first_run = nullptr;
     for (const Attempt& a : r.attempts) {
       if (a.may_have_run && !first_run) first_run = &a;
     }
     const int outstanding = r.outstanding();
-    may.dispatch =
-        now_ < r.due && static_cast<int>(r.attempts.size()) < settings_.max_attempts && outstanding == 0;
+    may.dispatch = now_ < r.due && static_cast<int>(r.attempts.size()) < r.most_attempts &&
+                   outstanding == 0 && r.repeatable;
     may.refuse = true;
     if (!first_run || c.effect == Effect::kSafe) return may;
     may.refuse = c.effect == Effect::kKeyed && c.group == Group::kAll;
@@ -397,11 +401,12 @@
   // owed them for longer than this class takes by mean + kDeviations deviations. Timing out what was merely
   // late doubled its work on every site. Zero also where no repeat is permitted or would come in time.
   Duration TimeoutFor(const Request& r, const Server& s) const {
-    const ClassSettings& c = settings_.classes[r.cls];
+    const ClassSettings& c = r.rules;
     const Spread& seen = classes_[r.cls].latency;
-    if (c.effect == Effect::kUnsafe || seen.samples < kYoung || s.own_count == 0 || retry_tokens_ < 1)
+    if (c.effect == Effect::kUnsafe || r.uploading || seen.samples < kYoung || s.own_count == 0 ||
+        retry_tokens_ < 1)
       return Duration(0);
-    if (static_cast<int>(r.attempts.size()) + 1 >= settings_.max_attempts) return Duration(0);
+    if (static_cast<int>(r.attempts.size()) + 1 >= r.most_attempts) return Duration(0);
     const Duration repeat((seen.mean + seen.deviation) * WorkScale(r));
     const Duration unlikely = Unlikely(r);
     if (now_ - s.quiet_since < unlikely || now_ + unlikely + repeat > r.due) return Duration(0);
@@ -437,12 +442,18 @@
     Attempt attempt;
     attempt.server = IndexOf(s);
     attempt.sent_at = now_;
-    attempt.overdue_at = classes_[r.cls].latency.samples < kYoung ? kNever : now_ + Unlikely(r);
-    awaited_.emplace(attempt.overdue_at, r.id, r.attempts.size());
     r.attempts.push_back(attempt);
+    if (!r.uploading) Await(r);
     out_->push_back(Dispatch{r.id, s.entry.server, timeout});
   }
 
+  // The last attempt is in flight, with all that the server needs for an answer.
+  void Await(Request& r) {
+    Attempt& a = r.attempts.back();
+    a.overdue_at = classes_[r.cls].latency.samples < kYoung ? kNever : now_ + Unlikely(r);
+    awaited_.emplace(a.overdue_at, r.id, r.attempts.size() - 1);
+  }
+
   void On(const AttemptEnded& e) {
     const auto found = requests_.find(e.request);
     if (found == requests_.end()) return;
@@ -457,6 +468,7 @@
     Learn(r, e, servers_[a.server]);
     room_ = true;
     if (e.settled) r.finished = true;
+    r.repeatable = e.repeatable;
     if (!r.finished && r.outstanding() == 0 && !r.held)
       Again(r, a.may_have_run || e.outcome == Outcome::kFull);
     Forget(found);
@@ -479,7 +491,7 @@
     outcomes_ = std::min(kYoung, outcomes_ + 1);
     if (ok) served_work_ += r.work, ++answered_;
     const double took = std::min(e.took, ok ? e.took : Unlikely(r)).count();
-    LearnZone(r, s, ok && now_ <= r.arrived + settings_.classes[r.cls].aim, ok);
+    LearnZone(r, s, ok && (r.streaming ? r.begun : now_) <= r.arrived + r.rules.aim, ok);
     // A time-out of a server that has answered others since then is an answer lost on the way: it tells no
     // pace. Of one that has not, it tells that an answer hardly comes any more, and the class is as slow as
     // that.
@@ -494,11 +506,10 @@
       s.slowness_at = now_;
     }
     if (timed && stretch_ > 0 && took > 0) {
-      const double usual = std::min(stretch_ * std::max(r.work, request_work_.mean / 2),
-                                    0.5 * settings_.classes[r.cls].aim.count());
+      const double usual =
+          std::min(stretch_ * std::max(r.work, request_work_.mean / 2), 0.5 * r.rules.aim.count());
       crowding_ += kCrowdingGain * (std::min(took / usual, kMostCrowding) - crowding_);
-      of_aim_ +=
-          kCrowdingGain * (std::min(took / settings_.classes[r.cls].aim.count(), kMostCrowding) - of_aim_);
+      of_aim_ += kCrowdingGain * (std::min(took / r.rules.aim.count(), kMostCrowding) - of_aim_);
     }
     if (ok && r.work >= request_work_.mean && took > 0) {
       const double x = took / r.work;
@@ -553,7 +564,7 @@
   bool Throttled(const Request& r) {
     const double pressure = Pressure();
     if (!fleet_.thin || pressure <= 1) return false;
-    const bool over_share = r.value < settings_.classes[r.cls].worth;
+    const bool over_share = r.value < r.rules.worth;
     return random_.Unit() > std::pow(pressure, over_share ? -4 : -2);
   }
 
@@ -570,6 +581,7 @@
   // Exception: what has passed of a client's deadline has passed of its aim. A client's last try has what is
   // left of its deadline, all others of a class have the same time: the usual one, found by vote.
   Duration Elapsed(const Submit& e) {
+    if (e.uploading) return Duration(0);
     const ClassSettings& c = settings_.classes[e.request_class];
     UsualTime& usual = classes_[e.request_class].usual_time;
     const Duration left = e.due - now_;
@@ -592,13 +604,16 @@
     r.due = e.due;
     r.arrived = now_;
     r.key = e.key;
+    r.uploading = e.uploading;
     if (e.request_class < 0 || e.request_class >= static_cast<int>(settings_.classes.size())) {
       // Nothing is known of what it may do twice, and it never ran: the client may try again.
       out_->push_back(Refuse{r.id, Duration(0)});
       return;
     }
     r.cls = e.request_class;
-    const ClassSettings& c = settings_.classes[r.cls];
+    r.rules = settings_.classes[e.request_class];
+    r.most_attempts = settings_.max_attempts;
+    const ClassSettings& c = r.rules;
     const Duration aim = c.aim - Elapsed(e);
     const bool hinted = e.has_hint && std::isfinite(e.work_ms) && e.work_ms > 0;
     r.work = hinted ? std::min(e.work_ms, kMostWork) : request_work_.samples > 0 ? request_work_.mean : 1;
@@ -607,6 +622,7 @@
       classes_[r.cls].work.Add(r.work);
     }
     mean_aim_.Add(c.aim.count());
+    if (samples_ == 0 && asked_work_ == 0) sampled_at_ = now_, sample_at_ = now_ + kHousekeeping;
     asked_work_ += r.work;
     r.value = c.worth * (WithinShare(e.tenant) ? 1 : settings_.over_share_worth);
     // What is too large to be in time is worth little, or nothing: it must not take the place of others. Each
@@ -625,14 +641,14 @@
 
   // Exception, where clients listen: one whose aim could not be met would come back only to be late, and take
   // the place of one in time. It is told to stay away for as long as it would have come back.
-  Duration StayAway(const Request& r) const {
-    return std::min(settings_.max_retry_after, settings_.classes[r.cls].deadline);
-  }
+  Duration StayAway(const Request& r) const { return std::min(settings_.max_retry_after, r.rules.deadline); }
 
   // Sends the request or holds it; true if sent.
   bool Place(Request& r) {
     const Permission may = Permitted(r);
-    Server* s = may.dispatch && FitsProxy() ? Pick(r, may) : nullptr;
+    const bool fits = may.dispatch && FitsProxy();
+    at_limit_ |= may.dispatch && !fits;
+    Server* s = fits ? Pick(r, may) : nullptr;
     if (s) {
       Unhold(r);
       Send(r, *s);
@@ -672,9 +688,31 @@
     Forget(found);
   }
 
+  // The answer is in time or not by its first bytes: what a slow client takes of the rest is no work in
+  // flight.
   void On(const StreamStarted& e) {
     const auto found = requests_.find(e.request);
-    if (found != requests_.end()) found->second.streaming = true;
+    if (found == requests_.end()) return;
+    Request& r = found->second;
+    r.streaming = true;
+    r.begun = now_;
+    if (e.attempt < 0 || e.attempt >= static_cast<int>(r.attempts.size())) return;
+    room_ |= awaited_.erase({r.attempts[e.attempt].overdue_at, r.id, e.attempt}) > 0;
+  }
+
+  // A request's time, and that of its attempt, counts from its last byte.
+  void On(const Uploaded& e) {
+    const auto found = requests_.find(e.request);
+    if (found == requests_.end()) return;
+    Request& r = found->second;
+    r.uploading = false;
+    r.arrived = now_;
+    r.due = e.due;
+    if (r.outstanding() == 0) return;
+    Server& s = servers_[r.attempts.back().server];
+    if (s.own_count == 1) s.quiet_since = now_;
+    r.attempts.back().sent_at = now_;
+    Await(r);
   }
 
   void On(const TimerFired&) {}
@@ -697,15 +735,23 @@
       const bool added = index_.count(entry.server) == 0;
       if (added) index_[entry.server] = NewServer();
       Server& s = servers_[index_[entry.server]];
+      s.detached = detached_.contains(entry.server);
       const ServerState before = s.entry.state;
       const bool started = added || entry.up_since != s.entry.up_since;
       s.entry = entry;
       s.entry.state = before;
       SetState(s, entry.state);
-      if (!started || WarmShare(s) >= 1) continue;
-      s.sent.Clear();
-      s.turn_since = now_, s.turn_phase = random_.Unit();
+      if (started && WarmShare(s) < 1) BeginCold(s);
     }
+    ListChanged();
+  }
+
+  void BeginCold(Server& s) {
+    s.sent.Clear();
+    s.turn_since = now_, s.turn_phase = random_.Unit();
+  }
+
+  void ListChanged() {
     ring_.clear();
     for (const Server& s : servers_) ring_.push_back(IndexOf(s));
     std::sort(ring_.begin(), ring_.end(), [this](ServerIndex a, ServerIndex b) {
@@ -735,12 +781,74 @@
 
   void SetState(Server& s, ServerState state) {
     if (state == ServerState::kGone && s.entry.state != state) s.gone_since = now_;
-    const int ready = (state == ServerState::kReady) - Usable(s);
-    fleet_.hosts += ready;
-    fleet_.ejected += s.health.ejected ? ready : 0;
+    Change(s, state, s.detached);
+  }
+
+  void Change(Server& s, ServerState state, bool detached) {
+    const bool before = Usable(s);
     s.entry.state = state;
+    s.detached = detached;
+    const int usable = Usable(s) - before;
+    fleet_.hosts += usable;
+    fleet_.ejected += s.health.ejected ? usable : 0;
+  }
+
+  // Operators take servers out and put them back. It holds for servers that no list has named yet, too. One
+  // that is put back was restarted: what was counted of it before says nothing, and it is cold from now on.
+  void On(const Detach& e) {
+    detached_.insert(e.server);
+    const auto found = index_.find(e.server);
+    if (found == index_.end()) return;
+    Server& s = servers_[found->second];
+    Change(s, s.entry.state, true);
+    ListChanged();
+  }
+
+  void On(const Attach& e) {
+    if (detached_.erase(e.server) == 0) return;
+    const auto found = index_.find(e.server);
+    if (found == index_.end()) return;
+    Server& s = servers_[found->second];
+    s.health = Host();
+    s.slowness = 1;
+    s.attached_at = now_;
+    Change(s, s.entry.state, false);
+    BeginCold(s);
+    ListChanged();
+  }
+
+  // What was learnt of a class goes on under its new index; that of one which is gone stays behind the others
+  // while requests of it are open.
+  void On(const NewSettings& e) {
+    const Settings before = std::exchange(settings_, *e.settings);
+    std::vector<ClassState> states(settings_.classes.size());
+    std::vector<int> moved(classes_.size(), -1);
+    for (std::size_t i = 0; i < states.size() && i < e.classes_before.size(); ++i) {
+      const int from = e.classes_before[i];
+      if (from < 0 || from >= static_cast<int>(before.classes.size())) continue;
+      states[i] = classes_[from];
+      moved[from] = static_cast<int>(i);
+    }
+    for (auto& [id, r] : requests_) {
+      int& to = moved[r.cls];
+      if (to < 0) {
+        to = static_cast<int>(states.size());
+        states.push_back(classes_[r.cls]);
+      }
+      r.cls = to;
+    }
+    classes_ = std::move(states);
+    std::vector<double> tokens(settings_.tenants.size(), 1);
+    for (std::size_t i = 0; i < tokens.size() && i < e.tenants_before.size(); ++i) {
+      const int from = e.tenants_before[i];
+      if (from >= 0 && from < static_cast<int>(tenant_tokens_.size())) tokens[i] = tenant_tokens_[from];
+    }
+    tenant_tokens_ = std::move(tokens);
+    ListChanged();
   }
 
+  void On(const Sharing& e) { processes_ = std::max(1, e.processes); }
+
   // Servers that are listed, and that are in service; a cold one counts as its share.
   void CountCapacity() {
     listed_ = in_service_ = 0;
@@ -823,13 +931,12 @@
     if (some_cold_) CountCapacity();
     if (sampled_at_ != TimePoint{} && elapsed > 0) {
       // A new proxy starts from little and trusts its first samples: one that floods the fleet at its start
-      // leaves queues that take far longer to drain than the start took.
-      const double gain = std::min(1.0, std::max(elapsed / kGoodMemory.count(), 1.0 / ++samples_));
-      served_rate_ += gain * (answered_ / elapsed - served_rate_);
+      // leaves queues that take far longer to drain than the start took. They count from its first request.
+      if (samples_ > 0 || asked_work_ > 0) LearnServedRate(answered_ / elapsed, Duration(elapsed));
       const double forgotten = std::min(1.0, elapsed / kCrowdingMemory.count());
       crowding_ += forgotten * (1 - crowding_);
       of_aim_ -= forgotten * of_aim_;
-      const double slow_gain = std::max(elapsed / kRateMemory.count(), 1.0 / samples_);
+      const double slow_gain = std::max(elapsed / kRateMemory.count(), 1.0 / std::max(1, samples_));
       work_rate_ += std::min(1.0, slow_gain) * (served_work_ / elapsed - work_rate_);
       asked_rate_ += std::min(1.0, slow_gain) * (asked_work_ / elapsed - asked_rate_);
       answered_ = served_work_ = asked_work_ = 0;
@@ -845,6 +952,17 @@
     room_ = true;  // cold budgets have moved on
   }
 
+  // Fewer answers tell of what can be served only where the limit kept requests waiting. Where fewer were
+  // asked for, the rate is forgotten slowly: a proxy that was drained, or whose clients were elsewhere, came
+  // back to a limit of nothing and refused for seconds.
+  void LearnServedRate(double rate, Duration elapsed) {
+    const bool at_limit = std::exchange(at_limit_, false) || !held_.empty();
+    const Duration memory = at_limit || rate > served_rate_ ? kGoodMemory : kUnaskedMemory;
+    const double least_gain = samples_ < kYoung && rate > served_rate_ ? kYoungGain : 0;
+    const double gain = std::min(1.0, std::max({elapsed / memory, 1.0 / ++samples_, least_gain}));
+    served_rate_ += gain * (rate - served_rate_);
+  }
+
   void Arm() {
     TimePoint at = std::min(ask_at_, held_.empty() ? kNever : sample_at_);
     if (!held_.empty() && !awaited_.empty()) at = std::min(at, std::get<0>(*awaited_.begin()));
@@ -869,6 +987,8 @@
   std::vector<Action>* out_ = nullptr;
   std::vector<Server> servers_;
   std::unordered_map<ServerId, ServerIndex> index_;
+  std::set<ServerId> detached_;  // by the operators
+  int processes_ = 1;            // that are this one proxy
   OutlierDetector::Fleet fleet_;
   double warm_rate_ = 0;
   double listed_ = 0, in_service_ = 0;  // servers ready and of these not ejected; a cold one as its share
@@ -888,6 +1008,7 @@
   int stretch_votes_ = 0;
   double stretch_ = 0;  // time over work that large requests take at the least
   int samples_ = 0;
+  bool at_limit_ = false;  // since the last sample, a request had to wait for others
   std::set<std::tuple<TimePoint, RequestId, std::size_t>> awaited_;  // attempts, by when an answer is overdue
   double answered_ = 0, served_rate_ = 0;  // answers since the last sample; answers a ms
   double served_work_ = 0, work_rate_ = 0, asked_work_ = 0, asked_rate_ = 0;  // the same of work
--- a/src/measures.h
+++ b/src/measures.h
@@ -117,6 +117,8 @@
 
 struct Server {
   ServerEntry entry;
+  bool detached = false;    // by the operators
+  TimePoint attached_at{};  // put back by them then, restarted
   TimePoint gone_since{};
   int in_list = 0;      // the last complete list that named it
   double own_work = 0;  // hinted, of this proxy, in flight
@@ -142,13 +144,18 @@
 
 struct Request {
   RequestId id = 0;
-  int cls = 0;
+  int cls = 0;          // whose times it adds to
+  ClassSettings rules;  // of its class as it came
+  int most_attempts = 1;
   double work = 1;
   double value = 0;
   std::uint64_t key = 0;
   TimePoint arrived{}, due{}, refuse_at{};
   std::vector<Attempt> attempts;
+  TimePoint begun{};  // of a streamed answer
   bool finished = false, streaming = false, held = false;
+  bool uploading = false;  // its last byte has not come
+  bool repeatable = true;
   int outstanding() const {
     return static_cast<int>(
         std::count_if(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.outstanding; }));
--- a/src/proxy/clients.h
+++ b/src/proxy/clients.h
@@ -11,66 +11,66 @@
 #include <functional>
 #include <list>
 #include <memory>
-#include <optional>
-#include <string>
-#include <string_view>
 
 #include "backends.h"
+#include "body.h"
 #include "clock.h"
 #include "config.h"
+#include "request.h"
 
 namespace brackenspoke::proxy {
 
-// A request as read from a client, its headers understood.
-struct ClientRequest {
-  HttpRequest message;  // what goes on to backends
-  Steady::time_point due{};
-  int request_class = 0;
-  int tenant = 0;
-  std::uint64_t key = 0;
-  bool has_hint = false, client_retry = false;
-  double work_ms = 0;
-};
-
-struct Complaint {
-  boost::beast::http::status status = boost::beast::http::status::bad_request;
-  std::string text;
-};
-
-// Understands the headers of a request whose last byte was read at `read_at`; a complaint if it can't.
-std::optional<Complaint> Understand(HttpRequest message, Steady::time_point read_at, const Config& config,
-                                    ClientRequest* request);
-
 // Where the one answer to a request goes.
 class Responder {
  public:
   virtual ~Responder() = default;
-  virtual void Served(HttpResponse answer) = 0;
+  virtual void Served(HttpResponse answer, Buffers::Hold hold) = 0;
+  // It is served, and its body follows.
+  virtual void Begun(AnswerHead head) = 0;
   virtual void Refused(Duration retry_after) = 0;
   virtual void Failed() = 0;
 };
 
-// What is done with requests. Neither call may throw.
+// What is done with requests. No call may throw.
 class RequestHandler {
  public:
   virtual ~RequestHandler() = default;
   virtual RequestId OnRequest(ClientRequest request, std::shared_ptr<Responder> responder) = 0;
+  // The last byte of a request whose body followed.
+  virtual void OnUploaded(RequestId request, Steady::time_point due) = 0;
   virtual void OnClientGone(RequestId request) = 0;
-  virtual bool Ready() const = 0;
+  virtual bool Ready() const = 0;  // clients may come
+  virtual std::shared_ptr<const Config> InForce() const = 0;
 };
 
 class Clients {
  public:
-  // Listens at once; throws boost::system::system_error if it cannot.
-  Clients(boost::asio::io_context& io, const Config& config, std::size_t most_connections,
-          RequestHandler& handler);
+  // `most_connections` tells how many there may be, now.
+  Clients(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address,
+          std::function<std::size_t()> most_connections, Buffers& buffers, RequestHandler& handler);
   ~Clients();
   Clients(const Clients&) = delete;
   Clients& operator=(const Clients&) = delete;
 
-  // From now on each connection closes after its answer; new ones are still served. After the grace,
-  // nothing is accepted any more, and `done` is called when no connection is left.
-  void Stop(Duration grace, std::function<void()> done);
+  // Listens; throws boost::system::system_error if it cannot.
+  void Open();
+  bool Listening() const { return acceptor_.is_open(); }
+
+  // From now on each connection closes after its answer; new ones are still served. What
+  // stands idle is closed once it has done so for long enough.
+  void Drain();
+  // Takes a drain back.
+  void Rejoin();
+  // A drain for good: after the grace, when nobody waits to be accepted, nothing is accepted any more, and
+  // `done` is called when no answer is owed. Nothing is left to be done at `end`.
+  void Stop(Duration grace, Steady::time_point end, std::function<void()> done);
+  // Of two processes that listen at this address, new connections go to the one whose listener came first or
+  // second; false if the system does not do that.
+  bool Steer(int listener);
+  // Closes what has stood idle for long enough, until so many are open.
+  void Shrink(std::size_t connections);
+  bool Draining() const { return draining_; }
+  bool Stopping() const { return stopping_; }
 
   boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
   std::size_t connections() const { return sessions_.size(); }
@@ -79,22 +79,30 @@
   class Session;
   friend class Session;
 
+  enum class Accepted { kOne, kNone, kNoRoom, kFailed };
   void Accept();
+  void AcceptSome();
+  Accepted AcceptOne();
   void AcceptLater();
+  bool EmptyQueue();
   bool MakeRoom();
+  // Something has come from this client.
+  void Heard(Session* session);
   void Remove(Session* session);
+  void CloseIdleLater();
   void Shut();
 
   boost::asio::io_context& io_;
-  const Config& config_;
-  std::size_t most_connections_;
+  boost::asio::ip::tcp::endpoint address_;
+  std::function<std::size_t()> most_connections_;
+  Buffers& buffers_;
   RequestHandler& handler_;
   boost::asio::ip::tcp::acceptor acceptor_;
-  boost::asio::steady_timer pause_, grace_;
-  std::list<std::shared_ptr<Session>> sessions_;  // the longest unused first
-  bool waiting_for_room_ = false, stopping_ = false, shut_ = false;
+  boost::asio::steady_timer pause_, sweep_, grace_;
+  std::list<std::shared_ptr<Session>> sessions_;  // the longest unheard of first
+  bool accepting_ = false, waiting_for_room_ = false, draining_ = false, stopping_ = false, shut_ = false;
   std::function<void()> stopped_;
-  Steady::time_point half_read_until_{};
+  Steady::time_point end_{};  // of a stop
 };
 
 }  // namespace brackenspoke::proxy
--- a/src/proxy/config.cpp
+++ b/src/proxy/config.cpp
@@ -1,12 +1,17 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "config.h"
 
+#include <sys/resource.h>
+
 #include <algorithm>
 #include <cctype>
 #include <charconv>
+#include <cmath>
 #include <fstream>
 #include <iterator>
 #include <nlohmann/json.hpp>
+#include <set>
+#include <utility>
 
 #include "settings.h"
 
@@ -16,6 +21,8 @@
 using nlohmann::json;
 using Tcp = boost::asio::ip::tcp;
 
+constexpr std::size_t kMegabyte = 1024 * 1024;
+
 // A value as the simulator's first message writes it: no blanks, no line ends.
 std::string Scalar(const json& value) {
   std::string text = value.is_string() ? value.get<std::string>() : value.dump();
@@ -51,6 +58,18 @@
   return *endpoint;
 }
 
+std::optional<Tcp::endpoint> OptionalAddress(const char* from_env, const json& root, const char* name) {
+  if ((!from_env || !*from_env) && !root.contains(name)) return std::nullopt;
+  return Address(from_env, root, name);
+}
+
+// A path for this proxy's files, by the address that all of its processes have.
+std::string StatePath(const char* directory, const Tcp::endpoint& listen) {
+  if (!directory || !*directory) return "";
+  return std::string(directory) + "/kestrelline-" + listen.address().to_string() + '-' +
+         std::to_string(listen.port());
+}
+
 std::vector<std::string> Strings(const json& settings, const char* name) {
   std::vector<std::string> all;
   const auto found = settings.find(name);
@@ -71,18 +90,83 @@
   return seed;
 }
 
+// A number, not one in words; the parser turns those down that are too large.
+void CheckAboveZero(const json& object, const char* name, const std::string& path) {
+  const auto found = object.find(name);
+  if (found == object.end()) throw BadConfig("setting absent: " + path + name);
+  if (!found->is_number() || !(found->get<double>() > 0) || !std::isfinite(found->get<double>()))
+    throw BadConfig("setting is no number above 0: " + path + name);
+}
+
+void CheckNumbers(const json& settings) {
+  const auto classes = settings.find("classes");
+  if (classes != settings.end() && classes->is_array()) {
+    for (std::size_t i = 0; i < classes->size(); ++i)
+      CheckAboveZero((*classes)[i], "deadlineMs", "classes." + std::to_string(i) + ".");
+  }
+  if (const auto allowed = settings.find("permissions"); allowed != settings.end())
+    CheckAboveZero(*allowed, "maxAttempts", "permissions.");
+}
+
+// Keys that the documents let a file leave out.
+bool MayBeAbsent(const std::string& key) {
+  static const std::set<std::string> kOptional{"known", "aimStretch", "passesDeadline", "warmKeys", "fleet"};
+  return kOptional.contains(key);
+}
+
+// A key that `before` has and `now` lacks; empty if there is none.
+std::string MissingKey(const json& before, const json& now, const std::string& path) {
+  if (!before.is_object()) return "";
+  for (const auto& [key, inner] : before.items()) {
+    const auto found = now.find(key);
+    if (found == now.end()) {
+      if (MayBeAbsent(key)) continue;
+      return path + key;
+    }
+    if (found->is_null() != inner.is_null() || found->is_object() != inner.is_object() ||
+        found->is_array() != inner.is_array())
+      return path + key;
+    if (std::string missing = MissingKey(inner, *found, path + key + "."); !missing.empty()) return missing;
+    if (!inner.is_array() || inner.empty() || !inner.front().is_object()) continue;
+    // Of a list of objects each has what all have had.
+    json common = inner.front();
+    for (const json& item : inner) {
+      for (auto it = common.begin(); it != common.end();)
+        it = item.contains(it.key()) ? ++it : common.erase(it);
+    }
+    for (std::size_t i = 0; i < found->size(); ++i) {
+      const std::string at = path + key + "." + std::to_string(i);
+      if (!(*found)[i].is_object()) return at;
+      if (std::string missing = MissingKey(common, (*found)[i], at + "."); !missing.empty()) return missing;
+    }
+  }
+  return "";
+}
+
+std::shared_ptr<const json> WithoutKnown(json root) {
+  root.erase("known");
+  return std::make_shared<const json>(std::move(root));
+}
+
 Config Read(const json& root, const Environment& env) {
   Config config;
   const char* name = env("ROUTER_NAME");
   config.name = name && *name ? name : root.value("name", "");
   config.listen = Address(env("ROUTER_LISTEN"), root, "listen");
   config.discovery = Address(env("ROUTER_DISCOVERY"), root, "discovery");
+  config.operators = OptionalAddress(env("ROUTER_OPS"), root, "ops");
+  if (config.operators) config.state_path = StatePath(env("TMPDIR"), config.listen);
   config.seed = SeedOf(root);
-  if (const auto limits = root.find("limits"); limits != root.end())
+  if (const auto limits = root.find("limits"); limits != root.end()) {
     config.sockets = limits->value("sockets", config.sockets);
+    const double mb = limits->value("memory_mb", static_cast<double>(config.memory / kMegabyte));
+    if (!(mb >= 1 && mb <= 1e6)) throw BadConfig("limits.memory_mb is no amount to serve with");
+    config.memory = static_cast<std::size_t>(mb * kMegabyte);
+  }
   if (config.sockets < 64) throw BadConfig("limits.sockets is too small to serve");
 
   const json& settings = root.at("settings");
+  CheckNumbers(settings);
   std::string lines;
   Flatten(settings, "", &lines);
   config.settings = adapter::ParseSettings(lines);
@@ -106,6 +190,7 @@
     if (!list) throw BadConfig("known is no list: " + why);
     config.known = std::move(*list);
   }
+  config.file = WithoutKnown(root);
   return config;
 }
 
@@ -137,10 +222,37 @@
   return Parsed(text, [&](const json& root) { return Read(root, env); });
 }
 
-Config LoadConfig(const Environment& env) { return ParseConfig(ReadFile(env), env); }
+Config LoadConfig(const Environment& env) {
+  Config config = ParseConfig(ReadFile(env), env);
+  rlimit allowed{};
+  if (::getrlimit(RLIMIT_NOFILE, &allowed) == 0 && allowed.rlim_cur < static_cast<rlim_t>(config.sockets))
+    config.sockets = static_cast<int>(allowed.rlim_cur);
+  return config;
+}
+
+Config Reconfigure(std::string_view text, const Config& current) {
+  return Parsed(text, [&](const json& root) {
+    if (const std::string missing = MissingKey(*current.file, root, ""); !missing.empty())
+      throw BadConfig("absent or of another kind: " + missing);
+    const Config fresh = Read(root, [](const char*) -> const char* { return nullptr; });
+    if (fresh.zones != current.zones || fresh.kinds != current.kinds ||
+        fresh.settings.must_ask_for_list != current.settings.must_ask_for_list)
+      throw BadConfig("zones, kinds and registryMode need a new start");
+    Config next = current;
+    next.known = {};  // long known
+    next.discovery = fresh.discovery;
+    next.settings = fresh.settings;
+    next.classes = fresh.classes;
+    next.tenants = fresh.tenants;
+    next.connect_timeout = fresh.connect_timeout;
+    next.conn_idle = fresh.conn_idle;
+    next.file = fresh.file;
+    return next;
+  });
+}
 
-Tcp::endpoint ReloadDiscovery(const Environment& env) {
-  return Parsed(ReadFile(env), [](const json& root) { return Address(nullptr, root, "discovery"); });
+Config ReloadConfig(const Environment& env, const Config& current) {
+  return Reconfigure(ReadFile(env), current);
 }
 
 }  // namespace brackenspoke::proxy
--- a/src/proxy/config.h
+++ b/src/proxy/config.h
@@ -7,6 +7,9 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
 #include <functional>
+#include <memory>
+#include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -26,25 +29,34 @@
 struct Config {
   std::string name;
   boost::asio::ip::tcp::endpoint listen, discovery;
+  std::optional<boost::asio::ip::tcp::endpoint> operators;  // where operators call, if they do
+  // Where processes of this proxy keep what they share; empty where none is ever replaced beside itself.
+  std::string state_path;
   std::uint64_t seed = 0;
-  int sockets = 1024;  // descriptors that the process may hold
+  int sockets = 1024;                      // descriptors that the process may hold
+  std::size_t memory = 192 * 1024 * 1024;  // bytes
   Settings settings;
   std::vector<std::string> classes, tenants, zones, kinds;  // their names, by index
   Duration connect_timeout{250};
   Duration conn_idle{15000};  // backends close what stands idle for this long
   MemberList known;
+  std::shared_ptr<const nlohmann::json> file;  // without what is known
 };
 
 // `text` is the configuration file; what the environment names goes before it.
 using Environment = std::function<const char*(const char*)>;
 Config ParseConfig(std::string_view text, const Environment& env);
 
-// Reads the file that ROUTER_CONFIG names.
+// Reads the file that ROUTER_CONFIG names. The system may allow fewer descriptors than that tells.
 Config LoadConfig(const Environment& env);
 
-// Where discovery is by the file that ROUTER_CONFIG names now: what the environment says is
-// as old as the process.
-boost::asio::ip::tcp::endpoint ReloadDiscovery(const Environment& env);
+// The settings and discovery of a new file in place of those in force; the rest needs a new start, and what
+// the environment says is as old as the process. A file is taken whole or not at all: one that lacks a key
+// that the one in force has is not whole.
+Config Reconfigure(std::string_view text, const Config& current);
+
+// Of the file that ROUTER_CONFIG names now.
+Config ReloadConfig(const Environment& env, const Config& current);
 
 }  // namespace brackenspoke::proxy
 
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -14,15 +14,51 @@
 constexpr int kOtherDescriptors = 40;
 constexpr double kClientShare = 0.6;
 constexpr TimePoint kUnarmed{Duration(1e300)};
-constexpr Duration kStopGrace{600};  // connections go on coming for up to 400 ms after SIGTERM
+constexpr double kLeastShare = 8;
+constexpr std::size_t kLeastPiece = 4 * 1024, kMostPiece = 16 * 1024;
+constexpr Duration kStopGrace{600};     // connections go on coming for up to 400 ms after SIGTERM
+constexpr Duration kReplacedGrace{50};  // none come where another process takes them
+constexpr Duration kLongestToEnd{3000}, kEndMargin{700};
+constexpr std::chrono::seconds kFreshList{3};      // what a second process waits for discovery
+constexpr std::chrono::milliseconds kSeenBy{700};  // for the other process to obey an operators' call
 
-Backends::Limits BackendLimits(const Config& config) {
-  const double rest = config.sockets - kOtherDescriptors;
-  return {config.connect_timeout, config.conn_idle, static_cast<std::size_t>(rest * (1 - kClientShare))};
+// Of the descriptors that the processes of this proxy share, for clients and for backends.
+double SharedDescriptors(const Config& config, int processes) {
+  return std::max(config.sockets - kOtherDescriptors * processes, config.sockets / 4);
 }
 
-std::size_t ClientLimit(const Config& config) {
-  return static_cast<std::size_t>((config.sockets - kOtherDescriptors) * kClientShare);
+// What others leave of a limit, and a little: nobody is shut out for good.
+std::size_t Rest(double limit, std::size_t others) {
+  return static_cast<std::size_t>(std::max(limit - static_cast<double>(others), kLeastShare));
+}
+
+std::string InState(const Config& config, const char* suffix) {
+  return config.state_path.empty() ? "" : config.state_path + suffix;
+}
+
+// Of the memory told, a quarter holds messages whole, and no more than another quarter goes for pieces if
+// every connection passes a body on.
+std::size_t MostHeldWhole(const Config& config) { return config.memory / 4; }
+
+std::size_t PieceSize(const Config& config) {
+  return std::clamp(config.memory / 8 / static_cast<std::size_t>(config.sockets), kLeastPiece, kMostPiece);
+}
+
+// Of each name now, its index before; -1 if it had none.
+std::vector<int> IndicesBefore(const std::vector<std::string>& before, const std::vector<std::string>& now) {
+  std::vector<int> indices;
+  for (const std::string& name : now) {
+    const auto found = std::find(before.begin(), before.end(), name);
+    indices.push_back(found == before.end() ? -1 : static_cast<int>(found - before.begin()));
+  }
+  return indices;
+}
+
+// When SIGKILL may follow SIGTERM.
+Duration TimeToEnd(const Settings& settings) {
+  Duration longest{0};
+  for (const ClassSettings& c : settings.classes) longest = std::max(longest, c.deadline);
+  return std::min(longest, kLongestToEnd) + kEndMargin;
 }
 
 Discovery::Options DiscoveryOptions(const Config& config) {
@@ -38,26 +74,189 @@
 }  // namespace
 
 Proxy::Proxy(boost::asio::io_context& io, Config config)
-    : config_(std::move(config)),
-      balancer_(config_.settings, config_.seed),
+    : io_(io),
+      config_(std::make_shared<const Config>(std::move(config))),
+      overlap_(io, InState(*config_, ".page")),
+      maintenance_(InState(*config_, ".maintenance"), overlap_),
+      balancer_(config_->settings, config_->seed),
       armed_for_(kUnarmed),
-      timer_(io) {
-  backends_ = std::make_unique<Backends>(io, BackendLimits(config_));
+      timer_(io),
+      open_timer_(io),
+      buffers_(MostHeldWhole(*config_), PieceSize(*config_), [this] { return overlap_.Others().buffers; }) {
+  backends_ = std::make_unique<Backends>(
+      io, Backends::Limits{config_->connect_timeout, config_->conn_idle, [this] { return MostBackends(); }},
+      buffers_);
+  clients_ = std::make_unique<Clients>(
+      io, config_->listen, [this] { return MostClients(); }, buffers_, *this);
   discovery_ = std::make_unique<Discovery>(
-      io, DiscoveryOptions(config_),
-      [this](const MemberList& list) { OnList(list, list.complete ? ListKind::kFull : ListKind::kDelta); },
+      io, DiscoveryOptions(*config_),
+      [this](const MemberList& list) {
+        OnList(list, list.complete ? ListKind::kFull : ListKind::kDelta);
+        if (!clients_->Listening()) OpenWhenListed();
+      },
       [this] {
         Feed(ListUpdate{ListKind::kFailed, {}});
       });
-  OnList(config_.known, ListKind::kCached);
-  listed_ = !config_.known.members.empty();
-  if (!config_.settings.must_ask_for_list) discovery_->Watch();
-  clients_ = std::make_unique<Clients>(io, config_, ClientLimit(config_), *this);
+  ObeyMaintenance();
+  OnList(config_->known, ListKind::kCached);
+  listed_ = !config_->known.members.empty();
+  if (!config_->settings.must_ask_for_list) discovery_->Watch();
+  if (overlap_.processes() == 1) {
+    clients_->Open();
+    overlap_.Listening();
+  } else {
+    open_timer_.expires_after(kFreshList);
+    open_timer_.async_wait([this](const boost::system::error_code& cancelled) {
+      if (!cancelled && !clients_->Listening()) OpenWhenListed();
+    });
+  }
+  if (config_->operators) operators_ = std::make_unique<Operators>(io, *config_->operators, *this);
+  overlap_.Watch([this] { OnLook(); });
 }
 
 Proxy::~Proxy() = default;
 
-void Proxy::Stop(std::function<void()> done) { clients_->Stop(kStopGrace, std::move(done)); }
+// Beside another process of this proxy, its clients are not to notice this one before it has fresh news.
+void Proxy::OpenWhenListed() {
+  if (!listed_ || clients_->Stopping()) return;
+  clients_->Open();
+  overlap_.Listening();
+  overlap_.SetTaking(Taking());
+}
+
+bool Proxy::Taking() const { return listed_ && clients_->Listening() && !clients_->Draining(); }
+
+// To clients all processes of this proxy are one.
+bool Proxy::Ready() const { return Taking() || (clients_->Stopping() && overlap_.OtherTakes()); }
+
+void Proxy::Stop(std::function<void()> done) {
+  const bool replaced = overlap_.OtherTakes();
+  if (replaced) clients_->Steer(overlap_.OtherIsLater() ? 1 : 0);
+  clients_->Stop(replaced ? kReplacedGrace : kStopGrace,
+                 Steady::now() + std::chrono::duration_cast<Steady::duration>(TimeToEnd(config_->settings)),
+                 std::move(done));
+  overlap_.SetTaking(false);
+}
+
+void Proxy::Reconfigure(Config config) {
+  const std::shared_ptr<const Config> before =
+      std::exchange(config_, std::make_shared<const Config>(std::move(config)));
+  NewSettings change;
+  change.settings = std::shared_ptr<const Settings>(config_, &config_->settings);
+  change.classes_before = IndicesBefore(before->classes, config_->classes);
+  change.tenants_before = IndicesBefore(before->tenants, config_->tenants);
+  Feed(std::move(change));
+  backends_->SetTimes(config_->connect_timeout, config_->conn_idle);
+  discovery_->MoveTo(config_->discovery);
+}
+
+void Proxy::OnLook() {
+  if (maintenance_.Refresh()) ObeyMaintenance();
+  overlap_.Seen(maintenance_.version());
+  AnswerSeen();
+  overlap_.SetTaking(Taking());
+  if (processes_ != overlap_.processes()) {
+    processes_ = overlap_.processes();
+    std::fprintf(stderr, "%d processes are this proxy\n", processes_);
+    Feed(Sharing{processes_});
+  }
+  ShareLimits();
+}
+
+// Two processes have the limits of one: what stands idle over a fair share is closed for the other.
+void Proxy::ShareLimits() {
+  overlap_.Publish({clients_->connections(), backends_->connections(), buffers_.held()});
+  if (processes_ == 1) return;
+  const double fair = SharedDescriptors(*config_, processes_) / processes_;
+  clients_->Shrink(static_cast<std::size_t>(fair * kClientShare));
+  backends_->Shrink(static_cast<std::size_t>(fair * (1 - kClientShare)));
+}
+
+std::size_t Proxy::MostClients() {
+  overlap_.Publish({clients_->connections(), backends_->connections(), buffers_.held()});
+  const double all = SharedDescriptors(*config_, overlap_.processes());
+  return Rest(all * kClientShare, overlap_.Others().clients);
+}
+
+std::size_t Proxy::MostBackends() {
+  overlap_.Publish({clients_->connections(), backends_->connections(), buffers_.held()});
+  const double all = SharedDescriptors(*config_, overlap_.processes());
+  return Rest(all * (1 - kClientShare), overlap_.Others().backends);
+}
+
+void Proxy::OnCall(const OperatorCall& call, OnReply reply) {
+  switch (call.verb) {
+    case OperatorCall::Verb::kPing:
+      return reply(Ping());
+    case OperatorCall::Verb::kLameduck:
+      clients_->Drain();
+      overlap_.SetTaking(false);
+      return reply({true, "draining"});
+    case OperatorCall::Verb::kRejoin:
+      return reply(Rejoin());
+    case OperatorCall::Verb::kDetach:
+    case OperatorCall::Verb::kAttach:
+      return ChangeMaintenance(call, std::move(reply));
+  }
+}
+
+OperatorReply Proxy::Ping() {
+  overlap_.SetTaking(Taking());
+  if (clients_->Stopping()) return {false, "stopping"};
+  if (clients_->Draining()) return {false, "draining"};
+  if (!listed_) return {false, "no server known yet"};
+  if (!clients_->Listening()) return {false, "starting"};
+  return {true, "taking clients"};
+}
+
+OperatorReply Proxy::Rejoin() {
+  if (clients_->Stopping()) return {false, "stopping"};
+  clients_->Rejoin();
+  overlap_.SetTaking(Taking());
+  return {true, "taking clients"};
+}
+
+void Proxy::ChangeMaintenance(const OperatorCall& call, OnReply reply) {
+  const bool out = call.verb == OperatorCall::Verb::kDetach;
+  if (maintenance_.Refresh()) ObeyMaintenance();
+  if (!numbers_.Has(call.id)) return reply({false, "unknown ID"});
+  if (!maintenance_.Change(call.id, out)) return reply({false, "cannot be kept"});
+  ObeyMaintenance();
+  unseen_.push_back({maintenance_.version(),
+                     Steady::now() + kSeenBy,
+                     {true, out ? "detached" : "attached"},
+                     std::move(reply)});
+  AnswerSeen();
+}
+
+// Tells the module, and the connections, what has changed.
+void Proxy::ObeyMaintenance() {
+  const std::set<std::string> before = std::exchange(detached_, maintenance_.out());
+  numbers_.Learn(std::vector<std::string>(detached_.begin(), detached_.end()));
+  for (const std::string& id : detached_) {
+    if (before.contains(id)) continue;
+    Feed(Detach{numbers_.Of(id)});
+    backends_->Detach(numbers_.Of(id));
+  }
+  for (const std::string& id : before) {
+    if (detached_.contains(id)) continue;
+    backends_->Attach(numbers_.Of(id));
+    Feed(Attach{numbers_.Of(id)});
+  }
+}
+
+void Proxy::AnswerSeen() {
+  for (std::size_t i = 0; i < unseen_.size();) {
+    const bool seen = overlap_.SeenByAll(unseen_[i].version);
+    if (!seen && Steady::now() < unseen_[i].until) {
+      ++i;
+      continue;
+    }
+    const Unseen answered = std::move(unseen_[i]);
+    unseen_.erase(unseen_.begin() + static_cast<std::ptrdiff_t>(i));
+    answered.on_reply(seen ? answered.reply : OperatorReply{false, "not seen by the other process"});
+  }
+}
 
 // The only caller of Handle. An action may bring about an event at once: it waits its turn here, so that
 // Handle is never entered while its actions are being carried out.
@@ -109,8 +308,8 @@
     ServerEntry entry;
     entry.server = numbers_.Of(m.id);
     entry.zone = ZoneOf(m.zone);
-    const auto kind_name = std::find(config_.kinds.begin(), config_.kinds.end(), m.kind);
-    entry.kind = static_cast<int>(kind_name - config_.kinds.begin());
+    const auto kind_name = std::find(config_->kinds.begin(), config_->kinds.end(), m.kind);
+    entry.kind = static_cast<int>(kind_name - config_->kinds.begin());
     entry.cell = m.cell;
     entry.state = m.state;
     entry.weight = m.weight;
@@ -128,8 +327,8 @@
 
 // A zone that the settings don't name is a zone of its own, none of those that they do.
 int Proxy::ZoneOf(const std::string& name) const {
-  const auto found = std::find(config_.zones.begin(), config_.zones.end(), name);
-  if (found != config_.zones.end()) return static_cast<int>(found - config_.zones.begin());
+  const auto found = std::find(config_->zones.begin(), config_->zones.end(), name);
+  if (found != config_->zones.end()) return static_cast<int>(found - config_->zones.begin());
   return static_cast<int>(0x10000 + (StableHash(name) & 0x3fffffff));
 }
 
@@ -144,8 +343,12 @@
   submit.has_hint = request.has_hint;
   submit.client_retry = request.client_retry;
   submit.work_ms = request.work_ms;
+  submit.uploading = request.body != nullptr;
   Pending& pending = pending_[id];
-  pending.message = std::move(request.message);
+  pending.message = std::make_shared<const HttpRequest>(std::move(request.message));
+  pending.hold = std::move(request.hold);
+  pending.body = std::move(request.body);
+  pending.config = std::move(request.config);
   pending.due = request.due;
   pending.responder = std::move(responder);
   Feed(submit);
@@ -164,7 +367,7 @@
   // Numbered by the order of their Dispatch; one that cannot go out is over at once, and never ran.
   const int attempt = found == pending_.end() ? 0 : found->second.attempts++;
   if (found == pending_.end() || !found->second.responder || found->second.attempt_out ||
-      now >= found->second.due || attempt >= config_.settings.max_attempts) {
+      now >= found->second.due || attempt >= found->second.config->settings.max_attempts) {
     AttemptEnded end;
     end.request = action.request;
     end.attempt = attempt;
@@ -175,28 +378,58 @@
   }
   Pending& pending = found->second;
   pending.attempt_out = true;
+  pending.sent_at = now;
   Duration timeout = pending.due - now;
   if (action.timeout.count() != 0) timeout = std::clamp(action.timeout, Duration(0), timeout);
-  HttpRequest message = pending.message;
-  message.set("Req-Deadline-Ms", std::to_string(static_cast<long long>(std::ceil(timeout.count()))));
-  backends_->Send(action.server, std::move(message), timeout,
-                  [this, id = action.request, attempt, server = action.server, now](AttemptResult result) {
-                    OnAttemptDone(id, attempt, server, now, std::move(result));
-                  });
+  Outgoing out;
+  out.head = pending.message->base();
+  out.head.set("Req-Deadline-Ms", std::to_string(static_cast<long long>(std::ceil(timeout.count()))));
+  out.whole = {pending.message, &pending.message->body()};
+  out.body = pending.body;
+  AttemptEvents events;
+  events.begun = [this, id = action.request, attempt](AnswerHead head) {
+    OnAttemptBegun(id, attempt, std::move(head));
+  };
+  events.done = [this, id = action.request, attempt, server = action.server](AttemptResult result) {
+    OnAttemptDone(id, attempt, server, std::move(result));
+  };
+  backends_->Send(action.server, std::move(out), timeout, std::move(events));
 }
 
-void Proxy::OnAttemptDone(RequestId request, int attempt, ServerId server, Steady::time_point sent,
-                          AttemptResult result) {
+void Proxy::OnUploaded(RequestId request, Steady::time_point due) {
+  const auto found = pending_.find(request);
+  if (found == pending_.end()) return;
+  found->second.due = due;
+  found->second.sent_at = Steady::now();
+  Feed(Uploaded{request, clock_.At(due)});
+}
+
+void Proxy::OnAttemptBegun(RequestId request, int attempt, AnswerHead head) {
+  const auto responder = Conclude(request);
+  if (!responder) return head.body->Abandon();
+  Pending& pending = pending_.at(request);
+  pending.first_bytes = Steady::now() - pending.sent_at;
+  Feed(StreamStarted{request, attempt});
+  responder->Begun(std::move(head));
+}
+
+void Proxy::OnAttemptDone(RequestId request, int attempt, ServerId server, AttemptResult result) {
   AttemptEnded end;
   end.request = request;
   end.attempt = attempt;
   end.server = server;
   end.outcome = result.outcome;
-  end.took = Steady::now() - sent;
   const auto found = pending_.find(request);
-  if (found != pending_.end()) found->second.attempt_out = false;
+  if (found != pending_.end()) {
+    Pending& pending = found->second;
+    pending.attempt_out = false;
+    const bool passed_on = pending.first_bytes.count() > 0;
+    end.took = passed_on ? pending.first_bytes : Duration(Steady::now() - pending.sent_at);
+    end.repeatable = !pending.body || !pending.body->Spent();
+  }
   if (result.outcome == Outcome::kOk) {
-    if (const auto responder = Conclude(request)) responder->Served(std::move(result.response));
+    if (const auto responder = Conclude(request))
+      responder->Served(std::move(result.response), std::move(result.hold));
   }
   end.settled = found == pending_.end() || !found->second.responder;
   ForgetIfOver(request);
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -21,40 +22,78 @@
 #include "clock.h"
 #include "config.h"
 #include "discovery.h"
+#include "maintenance.h"
 #include "members.h"
+#include "operators.h"
+#include "overlap.h"
 
 namespace brackenspoke::proxy {
 
-class Proxy : public RequestHandler {
+class Proxy : public RequestHandler, public OperatorHandler {
  public:
-  // Listens, and watches discovery, from here on.
+  // Watches discovery from here on, and listens: at once, or beside another process of this proxy once the
+  // list is fresh.
   Proxy(boost::asio::io_context& io, Config config);
   ~Proxy() override;
 
-  // Follows discovery to another address. Everything else of a configuration needs a new start.
-  void MoveDiscovery(const boost::asio::ip::tcp::endpoint& address) { discovery_->MoveTo(address); }
+  const Config& config() const { return *config_; }
+  // From now on; requests that are open keep what was in force when they came.
+  void Reconfigure(Config config);
 
   // Serves what comes for a while yet; `done` is called when nothing is held any more.
   void Stop(std::function<void()> done);
 
   RequestId OnRequest(ClientRequest request, std::shared_ptr<Responder> responder) override;
+  void OnUploaded(RequestId request, Steady::time_point due) override;
   void OnClientGone(RequestId request) override;
-  bool Ready() const override { return listed_; }
+  bool Ready() const override;
+  std::shared_ptr<const Config> InForce() const override { return config_; }
+  void OnCall(const OperatorCall& call, OnReply reply) override;
 
   boost::asio::ip::tcp::endpoint address() const { return clients_->address(); }
+  // Where operators call; of a configuration that names it.
+  boost::asio::ip::tcp::endpoint operators_address() const { return operators_->address(); }
   std::size_t backend_connections() const { return backends_->connections(); }
+  std::size_t client_connections() const { return clients_->connections(); }
   std::size_t held() const { return pending_.size(); }
+  std::size_t buffered() const { return buffers_.held(); }  // bytes of messages held whole
 
  private:
   // From its Submit until it has its answer and no attempt is out.
   struct Pending {
-    HttpRequest message;
+    std::shared_ptr<const HttpRequest> message;
+    Buffers::Hold hold;                // of its body; or
+    std::shared_ptr<BodySource> body;  // what follows of it
+    std::shared_ptr<const Config> config;
     Steady::time_point due{};
     std::shared_ptr<Responder> responder;  // null once answered
     int attempts = 0;
     bool attempt_out = false;
+    Steady::time_point sent_at{};  // the attempt, or the request's last byte
+    Duration first_bytes{0};       // until an answer that is passed on began
   };
 
+  // A change of the servers in maintenance that is kept, but not seen by every process yet.
+  struct Unseen {
+    std::uint64_t version = 0;
+    Steady::time_point until{};
+    OperatorReply reply;
+    OnReply on_reply;
+  };
+
+  OperatorReply Ping();
+  OperatorReply Rejoin();
+  void ChangeMaintenance(const OperatorCall& call, OnReply reply);
+  void ObeyMaintenance();
+  void AnswerSeen();
+
+  bool Taking() const;
+  void OpenWhenListed();
+  void OnLook();
+  void ShareLimits();
+  std::size_t MostClients();
+  std::size_t MostBackends();
+
   void Feed(Event event);
   void HandleQueued();
   void OnList(const MemberList& list, ListKind kind);
@@ -68,27 +107,35 @@
   void Do(const struct CloseIdle& action);
   void Do(const Log& action);
 
-  void OnAttemptDone(RequestId request, int attempt, ServerId server, Steady::time_point sent,
-                     AttemptResult result);
+  void OnAttemptBegun(RequestId request, int attempt, AnswerHead head);
+  void OnAttemptDone(RequestId request, int attempt, ServerId server, AttemptResult result);
   std::shared_ptr<Responder> Conclude(RequestId request);
   void ForgetIfOver(RequestId request);
   void ArmTimer();
 
-  Config config_;
+  boost::asio::io_context& io_;
+  std::shared_ptr<const Config> config_;  // in force
   ModuleClock clock_;
+  Overlap overlap_;
+  int processes_ = 1;  // that the module was told of
+  Maintenance maintenance_;
+  std::set<std::string> detached_;  // that the module was told of
+  std::vector<Unseen> unseen_;
   Balancer balancer_;
   ServerNumbers numbers_;
-  std::unordered_map<RequestId, Pending> pending_;
   RequestId last_request_ = 0;
   std::deque<Event> events_;
   bool handling_ = false;
   bool listed_ = false;
   std::multimap<TimePoint, std::uint64_t> timers_;
   TimePoint armed_for_;
-  boost::asio::steady_timer timer_;
+  boost::asio::steady_timer timer_, open_timer_;
+  Buffers buffers_;
+  std::unordered_map<RequestId, Pending> pending_;
   std::unique_ptr<Backends> backends_;
   std::unique_ptr<Clients> clients_;
   std::unique_ptr<Discovery> discovery_;
+  std::unique_ptr<Operators> operators_;
 };
 
 }  // namespace brackenspoke::proxy
