Leave the rate behind the limit as it is while nobody asks, and forget it as before otherwise

Where traffic is thin most samples hold fewer requests than before, so that the limit stayed too high for what the servers could do.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -52,10 +52,11 @@
 constexpr double kWindowMargin = 0.9;       // of the window in which a keyed repeat is dropped
 constexpr double kQueueShare = 0.33;        // of the aim that an attempt may take, in the mean
 constexpr double kChance = 1;               // deviations of the number in flight that are no overload
-constexpr double kCrowding = 3;            // and of what a mean request takes at servers that are not crowded
-constexpr Duration kGoodMemory{1500};      // averaging of the work answered, for the limit of the whole proxy
-constexpr Duration kUnaskedMemory{30000};  // of it while less is asked for
-constexpr double kYoungGain = 0.7;         // of a sample that shows a young proxy more than it knew
+constexpr double kCrowding = 3;        // and of what a mean request takes at servers that are not crowded
+constexpr Duration kGoodMemory{1500};  // averaging of the work answered, for the limit of the whole proxy
+constexpr Duration kUnasked{
+    1000};  // in which nobody asks, after which the rate tells nothing and is left as it is
+constexpr double kYoungGain = 0.7;     // of a sample that shows a young proxy more than it knew
 constexpr double kAimShare = 0.7;      // of their aims that answers may take in the mean: the rest is spread
 constexpr double kAtEase = 0.7;        // of the pressure at which the throttle starts
 constexpr double kComfort = 2.5;       // times the uncrowded time, up to which all is let in
@@ -622,7 +623,7 @@
       classes_[r.cls].work.Add(r.work);
     }
     mean_aim_.Add(c.aim.count());
-    if (samples_ == 0 && asked_work_ == 0) sampled_at_ = now_, sample_at_ = now_ + kHousekeeping;
+    if (now_ - std::exchange(asked_at_, now_) > kUnasked) asked_from_ = now_;
     asked_work_ += r.work;
     r.value = c.worth * (WithinShare(e.tenant) ? 1 : settings_.over_share_worth);
     // What is too large to be in time is worth little, or nothing: it must not take the place of others. Each
@@ -646,9 +647,7 @@
   // Sends the request or holds it; true if sent.
   bool Place(Request& r) {
     const Permission may = Permitted(r);
-    const bool fits = may.dispatch && FitsProxy();
-    at_limit_ |= may.dispatch && !fits;
-    Server* s = fits ? Pick(r, may) : nullptr;
+    Server* s = may.dispatch && FitsProxy() ? Pick(r, may) : nullptr;
     if (s) {
       Unhold(r);
       Send(r, *s);
@@ -931,12 +930,15 @@
     if (some_cold_) CountCapacity();
     if (sampled_at_ != TimePoint{} && elapsed > 0) {
       // A new proxy starts from little and trusts its first samples: one that floods the fleet at its start
-      // leaves queues that take far longer to drain than the start took. They count from its first request.
-      if (samples_ > 0 || asked_work_ > 0) LearnServedRate(answered_ / elapsed, Duration(elapsed));
+      // leaves queues that take far longer to drain than the start took. They count from its first request,
+      // and go on with the next one where nobody asked for a while, as in a drain.
+      const Duration asked = std::min(Duration(elapsed), now_ - asked_from_);
+      if (asked.count() > 0 && now_ - asked_at_ <= kUnasked)
+        LearnServedRate(answered_ / asked.count(), asked);
       const double forgotten = std::min(1.0, elapsed / kCrowdingMemory.count());
       crowding_ += forgotten * (1 - crowding_);
       of_aim_ -= forgotten * of_aim_;
-      const double slow_gain = std::max(elapsed / kRateMemory.count(), 1.0 / std::max(1, samples_));
+      const double slow_gain = std::max(elapsed / kRateMemory.count(), 1.0 / ++samples_);
       work_rate_ += std::min(1.0, slow_gain) * (served_work_ / elapsed - work_rate_);
       asked_rate_ += std::min(1.0, slow_gain) * (asked_work_ / elapsed - asked_rate_);
       answered_ = served_work_ = asked_work_ = 0;
@@ -952,14 +954,11 @@
     room_ = true;  // cold budgets have moved on
   }
 
-  // Fewer answers tell of what can be served only where the limit kept requests waiting. Where fewer were
-  // asked for, the rate is forgotten slowly: a proxy that was drained, or whose clients were elsewhere, came
-  // back to a limit of nothing and refused for seconds.
+  // A young proxy, or one that nobody had asked for a while, as after a drain, follows a rising rate at once:
+  // it came to its clients with a limit of nothing and refused for up to a second.
   void LearnServedRate(double rate, Duration elapsed) {
-    const bool at_limit = std::exchange(at_limit_, false) || !held_.empty();
-    const Duration memory = at_limit || rate > served_rate_ ? kGoodMemory : kUnaskedMemory;
-    const double least_gain = samples_ < kYoung && rate > served_rate_ ? kYoungGain : 0;
-    const double gain = std::min(1.0, std::max({elapsed / memory, 1.0 / ++samples_, least_gain}));
+    const double least_gain = young_samples_ < kYoung && rate > served_rate_ ? kYoungGain : 0;
+    const double gain = std::min(1.0, std::max({elapsed / kGoodMemory, 1.0 / ++young_samples_, least_gain}));
     served_rate_ += gain * (rate - served_rate_);
   }
 
@@ -1008,7 +1007,8 @@
   int stretch_votes_ = 0;
   double stretch_ = 0;  // time over work that large requests take at the least
   int samples_ = 0;
-  bool at_limit_ = false;  // since the last sample, a request had to wait for others
+  int young_samples_ = 0;
+  TimePoint asked_at_{}, asked_from_ = kNever;                       // last; first, after a while
   std::set<std::tuple<TimePoint, RequestId, std::size_t>> awaited_;  // attempts, by when an answer is overdue
   double answered_ = 0, served_rate_ = 0;  // answers since the last sample; answers a ms
   double served_work_ = 0, work_rate_ = 0, asked_work_ = 0, asked_rate_ = 0;  // the same of work
