In an upgrade serve kept connections until they have stood idle for 2 s

What all showed: 50 ms after SIGTERM the old process closed 70 to 96 kept connections at once, those idle for 0.5 s (Shut(), kFirstBytes). Both bad plays had builds running beside them, so that clients were slow to notice. That the requests crossed these closes is the likeliest reading; it was not seen, as neither play could be repeated.

Beside another process the old one now lets them be for 2 s; those used meanwhile close with their answer.

--- a/src/proxy/clients.cpp
+++ b/src/proxy/clients.cpp
@@ -170,9 +170,10 @@
   });
 }
 
-void Clients::Stop(Duration grace, Steady::time_point end, std::function<void()> done) {
+void Clients::Stop(Duration grace, Duration idle, Steady::time_point end, std::function<void()> done) {
   if (std::exchange(stopping_, true)) return;
   Drain();
+  idle_at_stop_ = std::chrono::ceil<Steady::duration>(idle);
   end_ = end;
   stopped_ = std::move(done);
   grace_.expires_after(std::chrono::ceil<Steady::duration>(grace));
@@ -189,7 +190,7 @@
     Error ignored;
     acceptor_.close(ignored);
   }
-  const auto before = Steady::now() - (late ? Steady::duration(0) : kFirstBytes);
+  const auto before = Steady::now() - (late ? Steady::duration(0) : idle_at_stop_);
   bool wait = !shut_;
   for (auto it = sessions_.begin(); shut_ && it != sessions_.end();) {
     const auto session = *it++;
--- a/src/proxy/clients.h
+++ b/src/proxy/clients.h
@@ -62,8 +62,9 @@
   // Takes a drain back.
   void Rejoin();
   // A drain for good: after the grace, when nobody waits to be accepted, nothing is accepted any more, and
-  // `done` is called when no answer is owed. Nothing is left to be done at `end`.
-  void Stop(Duration grace, Steady::time_point end, std::function<void()> done);
+  // `done` is called when no answer is owed. Then, too, what has stood idle for so long is closed. Nothing is
+  // left to be done at `end`.
+  void Stop(Duration grace, Duration idle, Steady::time_point end, std::function<void()> done);
   // Of two processes that listen at this address, new connections go to the one whose listener came first or
   // second; false if the system does not do that.
   bool Steer(int listener);
@@ -102,6 +103,7 @@
   std::list<std::shared_ptr<Session>> sessions_;  // the longest unheard of first
   bool accepting_ = false, waiting_for_room_ = false, draining_ = false, stopping_ = false, shut_ = false;
   std::function<void()> stopped_;
+  Steady::duration idle_at_stop_{};
   Steady::time_point end_{};  // of a stop
 };
 
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -16,7 +16,9 @@
 constexpr TimePoint kUnarmed{Duration(1e300)};
 constexpr double kLeastShare = 8;
 constexpr std::size_t kLeastPiece = 4 * 1024, kMostPiece = 16 * 1024;
-constexpr Duration kStopGrace{600};     // connections go on coming for up to 400 ms after SIGTERM
+constexpr Duration kStopGrace{600};  // connections go on coming for up to 400 ms after SIGTERM
+// A request may be on its way to what stands idle; beside another process there is time to let it come.
+constexpr Duration kStopIdle{500}, kReplacedIdle{2000};
 constexpr Duration kReplacedGrace{50};  // none come where another process takes them
 constexpr Duration kLongestToEnd{3000}, kEndMargin{700};
 constexpr std::chrono::seconds kFreshList{3};      // what a second process waits for discovery
@@ -132,7 +134,7 @@
 void Proxy::Stop(std::function<void()> done) {
   const bool replaced = overlap_.OtherTakes();
   if (replaced) clients_->Steer(overlap_.OtherIsLater() ? 1 : 0);
-  clients_->Stop(replaced ? kReplacedGrace : kStopGrace,
+  clients_->Stop(replaced ? kReplacedGrace : kStopGrace, replaced ? kReplacedIdle : kStopIdle,
                  Steady::now() + std::chrono::duration_cast<Steady::duration>(TimeToEnd(config_->settings)),
                  std::move(done));
   overlap_.SetTaking(false);
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -313,6 +313,23 @@
   EXPECT_EQ(after->Wait(), 0);
 }
 
+TEST(Upgrade, AKeptConnectionIsServedOnceMoreByTheOldProcess) {
+  Upgrade site;
+  const auto before = site.Start(site.old_operators);
+  ASSERT_TRUE(Upgrade::Answers(site.old_operators, kPing, kPingYes));
+  Client kept(site.address);
+  EXPECT_EQ(kept.Ask(Look()).result_int(), 200u);
+  const auto after = site.Start(site.new_operators);
+  ASSERT_TRUE(Upgrade::Answers(site.new_operators, kPing, kPingYes));
+  EXPECT_EQ(kept.Ask(Look()).result_int(), 200u);
+  before->Signal(SIGTERM);
+  ASSERT_TRUE(Upgrade::Answers(site.old_operators, kPing, "NAK stopping\n"));
+  std::this_thread::sleep_for(std::chrono::milliseconds(800));  // the old listener is closed long since
+  EXPECT_EQ(kept.Ask(Look()).result_int(), 200u);
+  EXPECT_TRUE(kept.Ended());
+  EXPECT_EQ(before->Wait(), 0);
+}
+
 TEST(Upgrade, MaintenanceHoldsInBothProcessesAndInTheNextOne) {
   Upgrade site;
   auto before = site.Start(site.old_operators);
