Read the fleet's sections of the configuration and find every fault of a file

The fleet's parts need their settings in the one file that the platform hands over, checked before they are used, and operators need every fault of a file named before a start or a SIGHUP, not only the first.

A start and a reload refuse a faulty section; absent sections leave every new part off, and nothing reads them yet. CheckConfig lists all faults of a file, with keys at the top that no part reads, which a start leaves alone as the platform may add its own.

--- a/src/proxy/config.cpp
+++ b/src/proxy/config.cpp
@@ -148,6 +148,12 @@
   return std::make_shared<const json>(std::move(root));
 }
 
+std::string Joined(const std::vector<std::string>& faults) {
+  std::string all;
+  for (const std::string& fault : faults) all += (all.empty() ? "" : "; ") + fault;
+  return all;
+}
+
 Config Read(const json& root, const Environment& env) {
   Config config;
   const char* name = env("ROUTER_NAME");
@@ -190,6 +196,10 @@
     if (!list) throw BadConfig("known is no list: " + why);
     config.known = std::move(*list);
   }
+  std::vector<std::string> faults;
+  config.fleet = ReadFleet(root, &faults);
+  config.state = ReadState(root, &faults);
+  if (!faults.empty()) throw BadConfig(Joined(faults));
   config.file = WithoutKnown(root);
   return config;
 }
@@ -255,4 +265,22 @@
   return Reconfigure(ReadFile(env), current);
 }
 
+std::vector<std::string> CheckConfig(const Environment& env) {
+  std::vector<std::string> faults;
+  try {
+    const std::string text = ReadFile(env);
+    const json root = json::parse(text, nullptr, /*allow_exceptions=*/false);
+    if (root.is_object()) {
+      faults = UnknownTopKeys(root);
+      ReadFleet(root, &faults);
+      ReadState(root, &faults);
+      if (!faults.empty()) return faults;
+    }
+    ParseConfig(text, env);
+  } catch (const BadConfig& error) {
+    faults.push_back(error.what());
+  }
+  return faults;
+}
+
 }  // namespace brackenspoke::proxy
--- a/src/proxy/config.h
+++ b/src/proxy/config.h
@@ -17,6 +17,7 @@
 
 #include "brackenspoke/balancer.h"
 #include "members.h"
+#include "schema.h"
 
 namespace brackenspoke::proxy {
 
@@ -40,6 +41,8 @@
   Duration connect_timeout{250};
   Duration conn_idle{15000};  // backends close what stands idle for this long
   MemberList known;
+  FleetSection fleet;
+  StateSection state;
   std::shared_ptr<const nlohmann::json> file;  // without what is known
 };
 
@@ -58,6 +61,10 @@
 // Of the file that ROUTER_CONFIG names now.
 Config ReloadConfig(const Environment& env, const Config& current);
 
+// Every fault of the file that ROUTER_CONFIG names, one line each, as a start would see it with `env`; empty
+// if it is fit to start with. Keys that no part reads are faults here, while a start only warns of them.
+std::vector<std::string> CheckConfig(const Environment& env);
+
 }  // namespace brackenspoke::proxy
 
 #endif  // BRACKENSPOKE_PROXY_CONFIG_H_
--- /dev/null
+++ b/src/proxy/schema.cpp
@@ -0,0 +1,152 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "schema.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <set>
+
+namespace brackenspoke::proxy {
+namespace {
+
+using nlohmann::json;
+using Udp = boost::asio::ip::udp;
+
+// One section under check: its faults carry the section's name.
+class Section {
+ public:
+  Section(const json& root, std::string name, std::set<std::string> keys, std::vector<std::string>* faults)
+      : name_(std::move(name)), faults_(faults) {
+    const auto found = root.find(name_);
+    if (found == root.end() || found->is_null()) return;
+    if (!found->is_object()) {
+      Fault("", "is no object");
+      return;
+    }
+    object_ = &*found;
+    for (const auto& [key, value] : object_->items())
+      if (!keys.contains(key)) Fault(key, "is no known key");
+  }
+
+  bool present() const { return object_ != nullptr; }
+
+  void Text(const char* key, std::string* into) {
+    if (const json* value = Find(key)) {
+      if (value->is_string())
+        *into = value->get<std::string>();
+      else
+        Fault(key, "is no string");
+    }
+  }
+
+  template <typename Number>
+  void Whole(const char* key, Number low, Number high, Number* into) {
+    const json* value = Find(key);
+    if (!value) return;
+    if (!value->is_number_integer()) return Fault(key, "is no whole number");
+    const auto got = value->get<std::int64_t>();
+    if (got < static_cast<std::int64_t>(low) || got > static_cast<std::int64_t>(high))
+      return Fault(key, "is out of range " + std::to_string(low) + " to " + std::to_string(high));
+    *into = static_cast<Number>(got);
+  }
+
+  void Time(const char* key, std::int64_t low, std::int64_t high, Milliseconds* into) {
+    std::int64_t ms = into->count();
+    Whole(key, low, high, &ms);
+    *into = Milliseconds(ms);
+  }
+
+  // Absent is a fault where `required`.
+  void Address(const char* key, bool required, Udp::endpoint* into) {
+    const json* value = Find(key);
+    if (!value) {
+      if (required) Fault(key, "is missing");
+      return;
+    }
+    if (auto endpoint = Parse(*value))
+      *into = *endpoint;
+    else
+      Fault(key, "is no host:port");
+  }
+
+  void Addresses(const char* key, std::vector<Udp::endpoint>* into) {
+    const json* value = Find(key);
+    if (!value) return;
+    if (!value->is_array()) return Fault(key, "is no list");
+    for (std::size_t i = 0; i < value->size(); ++i) {
+      if (auto endpoint = Parse((*value)[i]))
+        into->push_back(*endpoint);
+      else
+        Fault(std::string(key) + "." + std::to_string(i), "is no host:port");
+    }
+  }
+
+ private:
+  const json* Find(const char* key) const {
+    if (!object_) return nullptr;
+    const auto found = object_->find(key);
+    return found == object_->end() ? nullptr : &*found;
+  }
+
+  static std::optional<Udp::endpoint> Parse(const json& value) {
+    if (!value.is_string()) return std::nullopt;
+    const auto text = value.get<std::string>();
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos) return std::nullopt;
+    boost::system::error_code bad;
+    const auto address = boost::asio::ip::make_address(text.substr(0, colon), bad);
+    unsigned port = 0;
+    const char* end = text.data() + text.size();
+    const auto [at, error] = std::from_chars(text.data() + colon + 1, end, port);
+    if (bad || error != std::errc() || at != end || port > 65535 || colon + 1 == text.size())
+      return std::nullopt;
+    return Udp::endpoint(address, static_cast<unsigned short>(port));
+  }
+
+  void Fault(const std::string& key, const std::string& what) {
+    faults_->push_back(name_ + (key.empty() ? "" : "." + key) + " " + what);
+  }
+
+  std::string name_;
+  std::vector<std::string>* faults_;
+  const json* object_ = nullptr;
+};
+
+}  // namespace
+
+FleetSection ReadFleet(const json& root, std::vector<std::string>* faults) {
+  FleetSection fleet;
+  Section section(root, "fleet",
+                  {"name", "bind", "seeds", "probe_interval_ms", "suspicion_multiplier", "indirect_probes"},
+                  faults);
+  fleet.on = section.present();
+  section.Text("name", &fleet.name);
+  section.Address("bind", fleet.on, &fleet.bind);
+  section.Addresses("seeds", &fleet.seeds);
+  section.Time("probe_interval_ms", 10, 60000, &fleet.probe_interval);
+  section.Whole("suspicion_multiplier", 1, 100, &fleet.suspicion_multiplier);
+  section.Whole("indirect_probes", 0, 16, &fleet.indirect_probes);
+  if (fleet.on && fleet.name.empty()) faults->push_back("fleet.name is empty");
+  return fleet;
+}
+
+StateSection ReadState(const json& root, std::vector<std::string>* faults) {
+  StateSection state;
+  Section section(root, "state", {"dir", "snapshot_interval_ms", "max_age_ms"}, faults);
+  section.Text("dir", &state.dir);
+  section.Time("snapshot_interval_ms", 100, 3600000, &state.snapshot_interval);
+  section.Time("max_age_ms", 1000, 86400000, &state.max_age);
+  return state;
+}
+
+std::vector<std::string> UnknownTopKeys(const json& root) {
+  static const std::set<std::string> kKnown{"name",  "listen",   "discovery", "seed",  "limits",
+                                            "known", "settings", "ops",       "fleet", "state"};
+  std::vector<std::string> unknown;
+  for (const auto& [key, value] : root.items())
+    if (!kKnown.contains(key)) unknown.push_back(key + " is no known key");
+  return unknown;
+}
+
+}  // namespace brackenspoke::proxy
