Give kestrelline a command line and structured logs, one event a line

Operators could not check a file before a SIGHUP, nor read the log by field: the program took only environment variables and wrote free text with fprintf.

No line is written per request on the ordinary path: the module's lines are on changes of a server's state and the proxy's on faults and operators' calls, so a request pays nothing unless one of those happens with it.

--- a/src/proxy/backends.cpp
+++ b/src/proxy/backends.cpp
@@ -11,11 +11,11 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
-#include <cstdio>
 #include <optional>
 #include <utility>
 
 #include "clock.h"
+#include "log.h"
 
 namespace brackenspoke::proxy {
 namespace {
@@ -300,8 +300,8 @@
     if (begun_) ClearTimer();  // whoever reads the answer has a limit of its own
     if (failed) {
       if (begun_)
-        std::fprintf(stderr, "server %u broke off an answer after %zu bytes: %s\n", server_, got_,
-                     failed.message().c_str());
+        log::Warn("backends", "server " + std::to_string(server_) + " broke off an answer after " +
+                                  std::to_string(got_) + " bytes: " + failed.message());
       return FinishUnanswered(Outcome::kReset);
     }
     got_ += n;
--- a/src/proxy/discovery.cpp
+++ b/src/proxy/discovery.cpp
@@ -10,9 +10,10 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
-#include <cstdio>
 #include <utility>
 
+#include "log.h"
+
 namespace brackenspoke::proxy {
 namespace {
 
@@ -152,11 +153,11 @@
   std::string why;
   const auto list = ParseMembers(line, &why);
   if (!list) {
-    std::fprintf(stderr, "discovery: garbled line: %s\n", why.c_str());
+    log::Warn("discovery", "garbled line: " + why);
     return false;
   }
   backoff_ = std::chrono::milliseconds(0);
-  if (std::exchange(told_, false)) std::fprintf(stderr, "discovery: back\n");
+  if (std::exchange(told_, false)) log::Info("discovery", "back");
   // A change older than the list that it would change must not undo it.
   if (!list->complete && list->revision < options_.revision) return true;
   options_.revision = list->revision;
@@ -165,7 +166,7 @@
 }
 
 void Discovery::OnEnd(const std::string& why) {
-  if (!std::exchange(told_, true)) std::fprintf(stderr, "discovery: away: %s\n", why.c_str());
+  if (!std::exchange(told_, true)) log::Warn("discovery", "away: " + why);
   stream_.reset();
   if (options_.reconnect == Reconnect::kWhenAsked) return on_failure_();
   backoff_ = std::clamp(backoff_ * 2, kLeastBackoff, kMostBackoff);
--- a/src/proxy/main.cpp
+++ b/src/proxy/main.cpp
@@ -1,28 +1,47 @@
 // SPDX-License-Identifier: Apache-2.0
+#include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <exception>
+#include <optional>
+#include <string>
 
 #include "config.h"
+#include "log.h"
 #include "proxy.h"
 
 namespace {
 
-const char* Env(const char* name) { return std::getenv(name); }
+namespace proxy = brackenspoke::proxy;
+namespace log = brackenspoke::proxy::log;
+
+struct Options {
+  std::optional<std::string> config;  // in place of ROUTER_CONFIG
+  bool check = false;
+  log::Format format = log::Format::kText;
+};
+
+// The environment, but for the file that the command line names.
+proxy::Environment EnvironmentOf(const Options& options) {
+  return [config = options.config](const char* name) -> const char* {
+    if (config && std::string_view(name) == "ROUTER_CONFIG") return config->c_str();
+    return std::getenv(name);
+  };
+}
 
 // The platform has replaced the configuration file. One that is not whole and right changes nothing.
-void FollowConfig(boost::asio::signal_set& hangups, brackenspoke::proxy::Proxy& proxy) {
+void FollowConfig(boost::asio::signal_set& hangups, proxy::Proxy& running, const proxy::Environment& env) {
   hangups.async_wait([&](const boost::system::error_code& failed, int) {
     if (failed) return;
-    FollowConfig(hangups, proxy);
+    FollowConfig(hangups, running, env);
     try {
-      proxy.Reconfigure(brackenspoke::proxy::ReloadConfig(Env, proxy.config()));
-      std::fprintf(stderr, "kestrelline: reloaded\n");
-    } catch (const brackenspoke::proxy::BadConfig& error) {
-      std::fprintf(stderr, "kestrelline: not reloaded: %s\n", error.what());
+      running.Reconfigure(proxy::ReloadConfig(env, running.config()));
+      log::Info("config", "reloaded");
+    } catch (const proxy::BadConfig& error) {
+      log::Error("config", std::string("not reloaded: ") + error.what());
     }
   });
 }
@@ -34,28 +53,58 @@
       io.run();
       return;
     } catch (const std::exception& error) {
-      std::fprintf(stderr, "kestrelline: %s\n", error.what());
+      log::Error("process", error.what());
     }
   }
 }
 
-}  // namespace
+int Check(const proxy::Environment& env) {
+  const std::vector<std::string> faults = proxy::CheckConfig(env);
+  for (const std::string& fault : faults) std::printf("%s\n", fault.c_str());
+  if (faults.empty()) std::printf("configuration is fit to start with\n");
+  return faults.empty() ? 0 : 1;
+}
 
-int main() {
-  std::setvbuf(stderr, nullptr, _IOLBF, 0);
+int Serve(const Options& options) {
+  const proxy::Environment env = EnvironmentOf(options);
+  log::Start(options.format, "");
   try {
     boost::asio::io_context io(1);
     boost::asio::signal_set hangups(io, SIGHUP);  // from here on it does not end the process
-    brackenspoke::proxy::Proxy proxy(io, brackenspoke::proxy::LoadConfig(Env));
-    FollowConfig(hangups, proxy);
+    proxy::Config config = proxy::LoadConfig(env);
+    log::Start(options.format, config.name);
+    for (const std::string& unknown : proxy::UnknownTopKeys(*config.file)) log::Warn("config", unknown);
+    proxy::Proxy running(io, std::move(config));
+    FollowConfig(hangups, running, env);
     boost::asio::signal_set signals(io, SIGTERM, SIGINT);
     signals.async_wait([&](const boost::system::error_code& failed, int) {
-      if (!failed) proxy.Stop([&] { io.stop(); });
+      if (!failed) running.Stop([&] { io.stop(); });
     });
     Run(io);
   } catch (const std::exception& error) {
-    std::fprintf(stderr, "kestrelline: %s\n", error.what());
+    log::Error("process", error.what());
     return 1;
   }
   return 0;
 }
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  std::setvbuf(stderr, nullptr, _IOLBF, 0);
+  CLI::App app(
+      "kestrelline: a load-balancing HTTP/1.1 proxy. With no flags it reads ROUTER_CONFIG and the "
+      "other ROUTER_ variables.");
+  Options options;
+  app.add_option("--config", options.config, "configuration file, in place of $ROUTER_CONFIG");
+  app.add_flag("--check-config", options.check,
+               "check the configuration whole, one line per fault; exit 0 or 1");
+  std::string format = "text";
+  app.add_option("--log-format", format, "log lines as text (the default) or as JSON objects, one a line")
+      ->check(CLI::IsMember({"text", "json"}));
+  app.set_version_flag("--version", std::string("kestrelline ") + KESTRELLINE_VERSION);
+  CLI11_PARSE(app, argc, argv);
+  options.format = format == "json" ? log::Format::kJson : log::Format::kText;
+  if (options.check) return Check(EnvironmentOf(options));
+  return Serve(options);
+}
--- a/src/proxy/maintenance.cpp
+++ b/src/proxy/maintenance.cpp
@@ -2,12 +2,13 @@
 #include "maintenance.h"
 
 #include <cerrno>
-#include <cstdio>
 #include <filesystem>
 #include <fstream>
 #include <system_error>
 #include <utility>
 
+#include "log.h"
+
 namespace brackenspoke::proxy {
 
 Maintenance::Maintenance(std::string path, Overlap& overlap)
@@ -52,7 +53,7 @@
     }
     out_ = std::move(changed);
   } catch (const std::system_error& error) {
-    std::fprintf(stderr, "maintenance: %s\n", error.what());
+    log::Error("maintenance", error.what());
     return false;
   }
   overlap_.Seen(version_);
@@ -65,7 +66,7 @@
   try {
     out_ = Read();
   } catch (const std::system_error& error) {
-    std::fprintf(stderr, "maintenance: %s\n", error.what());
+    log::Error("maintenance", error.what());
     return false;
   }
   version_ = version;
--- a/src/proxy/operators.cpp
+++ b/src/proxy/operators.cpp
@@ -8,9 +8,10 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <cstdio>
 #include <utility>
 
+#include "log.h"
+
 namespace brackenspoke::proxy {
 namespace {
 
@@ -107,12 +108,12 @@
     if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
     const auto call = ParseCall(line);
     if (const auto* why = std::get_if<std::string>(&call)) return Answer({false, *why});
-    owner_->handler_.OnCall(std::get<OperatorCall>(call), [weak = weak_from_this(),
-                                                           line = std::string(line)](OperatorReply reply) {
-      if (!line.starts_with("PING"))
-        std::fprintf(stderr, "operators: %s: %s\n", line.c_str(), Line(reply).c_str());
-      if (const auto self = weak.lock()) self->Answer(reply);
-    });
+    owner_->handler_.OnCall(std::get<OperatorCall>(call),
+                            [weak = weak_from_this(), line = std::string(line)](OperatorReply reply) {
+                              if (!line.starts_with("PING"))
+                                log::Info("operators", line + ": " + Line(reply));
+                              if (const auto self = weak.lock()) self->Answer(reply);
+                            });
   }
 
   static std::string Line(const OperatorReply& reply) { return (reply.yes ? "ACK " : "NAK ") + reply.text; }
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -3,10 +3,11 @@
 
 #include <algorithm>
 #include <cmath>
-#include <cstdio>
 #include <unordered_set>
 #include <utility>
 
+#include "log.h"
+
 namespace brackenspoke::proxy {
 namespace {
 
@@ -159,7 +160,7 @@
   overlap_.SetTaking(Taking());
   if (processes_ != overlap_.processes()) {
     processes_ = overlap_.processes();
-    std::fprintf(stderr, "%d processes are this proxy\n", processes_);
+    log::Info("proxy", std::to_string(processes_) + " processes are this proxy");
     Feed(Sharing{processes_});
   }
   ShareLimits();
@@ -466,7 +467,7 @@
 
 void Proxy::Do(const struct CloseIdle& action) { backends_->CloseIdle(action.server); }
 
-void Proxy::Do(const Log& action) { std::fprintf(stderr, "%s\n", action.text.c_str()); }
+void Proxy::Do(const Log& action) { log::Info("module", action.text); }
 
 // Guards against a timer that the module thinks has not come yet: rounding may wake this a moment early, and
 // the module would not ask again.
