Log where a process takes clients and operators at its start

Whoever starts processes of the program, a test harness or an operator reading the log, could not tell from the log that a process had started, nor the operators' address that it took when given port 0.

At its start the process writes one line, component process: `started: clients at A once servers are listed, operators at B`. The clients' address is the configured one, as the listener opens only once discovery has listed servers.

--- a/src/proxy/main.cpp
+++ b/src/proxy/main.cpp
@@ -58,6 +58,10 @@
   }
 }
 
+std::string Text(const boost::asio::ip::tcp::endpoint& at) {
+  return at.address().to_string() + ":" + std::to_string(at.port());
+}
+
 int Check(const proxy::Environment& env) {
   const std::vector<std::string> faults = proxy::CheckConfig(env);
   for (const std::string& fault : faults) std::printf("%s\n", fault.c_str());
@@ -74,7 +78,11 @@
     proxy::Config config = proxy::LoadConfig(env);
     log::Start(options.format, config.name);
     for (const std::string& unknown : proxy::UnknownTopKeys(*config.file)) log::Warn("config", unknown);
+    const bool called = config.operators.has_value();
+    const std::string clients = Text(config.listen);
     proxy::Proxy running(io, std::move(config));
+    log::Info("process", "started: clients at " + clients + " once servers are listed" +
+                             (called ? ", operators at " + Text(running.operators_address()) : ""));
     FollowConfig(hangups, running, env);
     boost::asio::signal_set signals(io, SIGTERM, SIGINT);
     signals.async_wait([&](const boost::system::error_code& failed, int) {
