--- /dev/null
+++ b/tests/fleet/harness.h
@@ -0,0 +1,250 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// The process harness that every fleet test uses: real processes of the program, and of the fault relay, each
+// with its own ports and $TMPDIR; their log lines read as they come, waited on with a bound; signals by id;
+// and at the end every process killed and reaped and every folder removed, whatever the test did.
+#ifndef BRACKENSPOKE_TESTS_FLEET_HARNESS_H_
+#define BRACKENSPOKE_TESTS_FLEET_HARNESS_H_
+
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+#include <chrono>
+#include <condition_variable>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <regex>
+#include <stdexcept>
+#include <string>
+#include <thread>
+#include <vector>
+
+extern char** environ;
+
+namespace brackenspoke::testing::fleet {
+
+using Tcp = boost::asio::ip::tcp;
+using std::chrono::milliseconds;
+
+// The longest any wait of a fleet test lasts before the test is given up.
+inline constexpr milliseconds kBound{20000};
+
+// One program, started with posix_spawn; what it writes to standard output and error, line by line.
+class Process {
+ public:
+  Process(const std::string& path, const std::vector<std::string>& args,
+          const std::map<std::string, std::string>& env) {
+    int ends[2];
+    if (::pipe2(ends, O_CLOEXEC) != 0) throw std::runtime_error("no pipe");
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
+    posix_spawn_file_actions_adddup2(&actions, ends[1], STDERR_FILENO);
+    std::vector<std::string> words{path}, vars;
+    words.insert(words.end(), args.begin(), args.end());
+    for (char** var = environ; *var; ++var) vars.emplace_back(*var);
+    for (const auto& [name, value] : env) vars.push_back(name + "=" + value);
+    const auto argv = Pointers(words), envp = Pointers(vars);
+    const int failed = posix_spawn(&pid_, path.c_str(), &actions, nullptr, argv.data(), envp.data());
+    posix_spawn_file_actions_destroy(&actions);
+    ::close(ends[1]);
+    if (failed != 0) {
+      ::close(ends[0]);
+      throw std::runtime_error("cannot start " + path);
+    }
+    reader_ = std::thread([this, from = ends[0]] { Read(from); });
+  }
+  Process(const Process&) = delete;
+  Process& operator=(const Process&) = delete;
+  ~Process() {
+    Kill();
+    reader_.join();
+  }
+
+  pid_t pid() const { return pid_; }
+  void Signal(int signal) const {
+    if (running()) ::kill(pid_, signal);
+  }
+  bool running() const { return !status_; }
+
+  // SIGKILL, then reaped: afterwards no process of this id is left.
+  void Kill() {
+    if (!running()) return;
+    ::kill(pid_, SIGKILL);
+    Reap();
+  }
+  // The exit status, or 1000 and the signal that ended it; waits for the end.
+  int Reap() {
+    if (!status_) {
+      int status = 0;
+      ::waitpid(pid_, &status, 0);
+      status_ = WIFEXITED(status) ? WEXITSTATUS(status) : 1000 + WTERMSIG(status);
+    }
+    return *status_;
+  }
+
+  // The first line from `from` on that matches `pattern`, waited for up to `within`; its index and text.
+  std::optional<std::pair<std::size_t, std::smatch>> WaitFor(const std::string& pattern, std::size_t from = 0,
+                                                             milliseconds within = kBound) {
+    const std::regex wanted(pattern);
+    std::unique_lock lock(mutex_);
+    std::optional<std::pair<std::size_t, std::smatch>> found;
+    changed_.wait_for(lock, within, [&] {
+      for (; from < lines_.size(); ++from) {
+        std::smatch match;
+        if (std::regex_search(lines_[from], match, wanted)) return found.emplace(from, match), true;
+      }
+      return ended_;
+    });
+    return found;
+  }
+  std::vector<std::string> Lines() {
+    const std::lock_guard lock(mutex_);
+    return lines_;
+  }
+
+ private:
+  static std::vector<char*> Pointers(std::vector<std::string>& words) {
+    std::vector<char*> pointers;
+    for (std::string& word : words) pointers.push_back(word.data());
+    pointers.push_back(nullptr);
+    return pointers;
+  }
+
+  void Read(int from) {
+    std::string part;
+    char piece[4096];
+    for (ssize_t n; (n = ::read(from, piece, sizeof piece)) > 0;) {
+      part.append(piece, static_cast<std::size_t>(n));
+      const std::lock_guard lock(mutex_);
+      for (std::size_t end; (end = part.find('\n')) != std::string::npos; part.erase(0, end + 1))
+        lines_.push_back(part.substr(0, end));
+      changed_.notify_all();
+    }
+    ::close(from);
+    const std::lock_guard lock(mutex_);
+    ended_ = true;
+    changed_.notify_all();
+  }
+
+  pid_t pid_ = -1;
+  std::optional<int> status_;
+  std::thread reader_;
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::vector<std::string> lines_;
+  bool ended_ = false;
+};
+
+// A folder of its own, removed with everything in it at the end.
+class Folder {
+ public:
+  Folder() {
+    std::string pattern = (std::filesystem::temp_directory_path() / "fleet-XXXXXX").string();
+    if (!::mkdtemp(pattern.data())) throw std::runtime_error("no temporary folder");
+    path = pattern;
+  }
+  Folder(const Folder&) = delete;
+  Folder& operator=(const Folder&) = delete;
+  ~Folder() {
+    std::error_code ignored;
+    std::filesystem::remove_all(path, ignored);
+  }
+  std::filesystem::path path;
+};
+
+// One line to a line protocol on loopback (the operators' listener, the relay's control), and its answer.
+inline std::string Call(const Tcp::endpoint& at, const std::string& line) {
+  boost::asio::io_context io;
+  Tcp::socket socket(io);
+  socket.connect(at);
+  boost::asio::write(socket, boost::asio::buffer(line + "\n"));
+  boost::asio::streambuf answer;
+  boost::asio::read_until(socket, answer, '\n');
+  std::string text;
+  std::getline(std::istream(&answer), text);
+  return text;
+}
+
+inline Tcp::endpoint Endpoint(const std::string& host, const std::string& port) {
+  return {boost::asio::ip::make_address(host), static_cast<unsigned short>(std::stoi(port))};
+}
+
+// A port that nobody listened on a moment ago. The operators' address is taken by the process itself (port
+// 0); the clients' cannot be, as a proxy opens it only once discovery has listed servers.
+inline unsigned short FreePort() {
+  boost::asio::io_context io;
+  return Tcp::acceptor(io, Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0))
+      .local_endpoint()
+      .port();
+}
+
+// One process of the proxy: its folder, its configuration file, and the addresses it took.
+struct Member {
+  std::string name;
+  std::unique_ptr<Folder> folder;
+  std::unique_ptr<Process> process;
+  Tcp::endpoint clients, operators;
+};
+
+// Proxies of the program at PROXY_PATH, each started with `config` (the configuration as JSON; name, listen
+// and ops are set here) and free ports, named in the line that it writes at its start.
+class Fleet {
+ public:
+  explicit Fleet(std::string path) : path_(std::move(path)) {}
+
+  // Starts one more and waits for its line that it has started; its index, or an exception if it never does.
+  std::size_t Start(nlohmann::json config) {
+    Member member;
+    member.name = std::to_string(members_.size() + 1);
+    member.name.insert(0, 1, 'n');
+    member.folder = std::make_unique<Folder>();
+    config["name"] = member.name;
+    config["listen"] = "127.0.0.1:" + std::to_string(FreePort());
+    config["ops"] = "127.0.0.1:0";
+    const auto file = member.folder->path / "config.json";
+    std::ofstream(file) << config.dump();
+    member.process =
+        std::make_unique<Process>(path_, std::vector<std::string>{"--config", file.string()},
+                                  std::map<std::string, std::string>{{"TMPDIR", member.folder->path}});
+    const auto listening = member.process->WaitFor(kListening);
+    if (!listening) throw std::runtime_error(member.name + " did not start");
+    const std::smatch& match = listening->second;
+    member.clients = Endpoint(match[1], match[2]);
+    member.operators = Endpoint(match[3], match[4]);
+    members_.push_back(std::move(member));
+    return members_.size() - 1;
+  }
+
+  Member& operator[](std::size_t index) { return members_.at(index); }
+  std::size_t size() const { return members_.size(); }
+
+  // SIGKILL to all, each reaped, each folder removed.
+  void Clear() { members_.clear(); }
+
+  // The line that a proxy writes once it has started: where it takes clients, and where operators call.
+  static constexpr const char* kListening =
+      R"(process: started: clients at ([0-9.]+):([0-9]+) once servers are listed, operators at ([0-9.]+):([0-9]+))";
+
+ private:
+  std::string path_;
+  std::vector<Member> members_;
+};
+
+}  // namespace brackenspoke::testing::fleet
+
+#endif  // BRACKENSPOKE_TESTS_FLEET_HARNESS_H_
--- /dev/null
+++ b/tests/fleet/relay_test.cpp
@@ -0,0 +1,118 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// The fault relay between two ends on loopback: what passes, and each fault on command.
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/read.hpp>
+
+#include "harness.h"
+
+namespace brackenspoke::testing::fleet {
+namespace {
+
+namespace asio = boost::asio;
+using Udp = asio::ip::udp;
+
+const asio::ip::address kLoopback = asio::ip::make_address("127.0.0.1");
+
+// A relay with one route to `target`; its control address and the route's own.
+struct RunningRelay {
+  RunningRelay(const std::string& kind, const std::string& target)
+      : process(RELAY_PATH, {"--seed", "7", "--route", "r=" + kind + ":127.0.0.1:0=" + target}, {}) {
+    const auto control_line = process.WaitFor(R"(relay control ([0-9.]+):([0-9]+))");
+    const auto route_line = process.WaitFor(R"(relay route r ([0-9.]+):([0-9]+))");
+    if (!control_line || !route_line) throw std::runtime_error("the relay did not start");
+    control = Endpoint(control_line->second[1], control_line->second[2]);
+    route_port = static_cast<unsigned short>(std::stoi(route_line->second[2]));
+  }
+  std::string Say(const std::string& line) { return Call(control, line); }
+  Process process;
+  Tcp::endpoint control;
+  unsigned short route_port = 0;
+};
+
+// Two UDP ends and a relay between them.
+class UdpPair : public ::testing::Test {
+ protected:
+  UdpPair()
+      : far(io, Udp::endpoint(kLoopback, 0)),
+        near(io, Udp::endpoint(kLoopback, 0)),
+        relay("udp", "127.0.0.1:" + std::to_string(far.local_endpoint().port())) {
+    const timeval wait{0, 200000};  // a datagram that has not come in this time is taken as lost
+    ::setsockopt(far.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof wait);
+  }
+  void Send(int n) {
+    const std::string text = std::to_string(n);
+    near.send_to(asio::buffer(text), Udp::endpoint(kLoopback, relay.route_port));
+  }
+  // What came to the far end, in order, until none came for a while.
+  std::vector<int> Received() {
+    std::vector<int> got;
+    for (std::array<char, 64> in{};;) {
+      // Not by Asio, which waits on past the socket's time-out.
+      const ssize_t n = ::recv(far.native_handle(), in.data(), in.size(), 0);
+      if (n <= 0) return got;
+      got.push_back(std::stoi(std::string(in.data(), static_cast<std::size_t>(n))));
+    }
+  }
+
+  asio::io_context io;
+  Udp::socket far, near;
+  RunningRelay relay;
+};
+
+TEST_F(UdpPair, PassesEveryDatagramWithoutFaults) {
+  for (int i = 0; i < 20; ++i) Send(i);
+  EXPECT_EQ(Received().size(), 20u);
+  EXPECT_EQ(relay.Say("COUNTS r"), "ACK passed=20 dropped=0 duplicated=0 reordered=0 cut=0");
+}
+
+TEST_F(UdpPair, DropsDuplicatesReordersAndCutsOnCommand) {
+  ASSERT_EQ(relay.Say("FAULT r drop=1"), "ACK faults set");
+  for (int i = 0; i < 10; ++i) Send(i);
+  EXPECT_TRUE(Received().empty());
+  ASSERT_EQ(relay.Say("FAULT r drop=0 duplicate=1"), "ACK faults set");
+  Send(1);
+  EXPECT_EQ(Received(), (std::vector<int>{1, 1}));
+  ASSERT_EQ(relay.Say("FAULT r duplicate=0 reorder=1"), "ACK faults set");
+  Send(1);
+  Send(2);
+  EXPECT_EQ(Received(), (std::vector<int>{2, 1}));
+  ASSERT_EQ(relay.Say("FAULT r reorder=0 cut=1"), "ACK faults set");
+  Send(3);
+  EXPECT_TRUE(Received().empty());
+  ASSERT_EQ(relay.Say("CLEAR r"), "ACK cleared");
+  Send(4);
+  EXPECT_EQ(Received(), (std::vector<int>{4}));
+  EXPECT_EQ(relay.Say("COUNTS r"), "ACK passed=4 dropped=10 duplicated=1 reordered=1 cut=1");
+}
+
+TEST_F(UdpPair, TurnsDownCallsThatAreNone) {
+  EXPECT_EQ(relay.Say("FAULT q drop=1"), "NAK unknown route");
+  EXPECT_EQ(relay.Say("FAULT r drop"), "NAK no key=value: drop");
+  EXPECT_EQ(relay.Say("FAULT r loss=1"), "NAK unknown fault: loss");
+  EXPECT_EQ(relay.Say("SHOUT r"), "NAK unknown call");
+}
+
+TEST(TcpRoute, CarriesABytestreamAndACutClosesIt) {
+  asio::io_context io;
+  Tcp::acceptor far(io, Tcp::endpoint(kLoopback, 0));
+  RunningRelay relay("tcp", "127.0.0.1:" + std::to_string(far.local_endpoint().port()));
+  Tcp::socket near(io);
+  near.connect(Tcp::endpoint(kLoopback, relay.route_port));
+  Tcp::socket accepted = far.accept();
+  asio::write(near, asio::buffer(std::string("hello")));
+  std::string got(5, '\0');
+  asio::read(accepted, asio::buffer(got));
+  EXPECT_EQ(got, "hello");
+  ASSERT_EQ(relay.Say("FAULT r cut=1"), "ACK faults set");
+  boost::system::error_code closed;
+  char byte = 0;
+  asio::read(accepted, asio::buffer(&byte, 1), closed);
+  EXPECT_EQ(closed, asio::error::eof);
+}
+
+}  // namespace
+}  // namespace brackenspoke::testing::fleet
