Add fleet membership: SWIM with Lifeguard over UDP, and MEMBERS for operators

Each process knew only itself, so nothing could be shared or held by one of them. src/fleet/ holds the messages (MessagePack, at most 1,400 bytes, every misfit dropped and counted), the protocol without socket or clock, and the node that gives it both.

The relay tells a route's senders apart, so that a fault can be a pair's; tests/fleet/cluster.h puts it on every path. The harness takes another port where somebody else was faster.

--- /dev/null
+++ b/src/fleet/message.cpp
@@ -0,0 +1,131 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "message.h"
+
+#include <array>
+#include <stdexcept>
+
+#include "schema.h"
+
+namespace brackenspoke::fleet {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::array<std::string_view, 4> kStates{"alive", "suspect", "dead", "left"};
+constexpr std::array<std::string_view, kDrops> kDropNames{"malformed", "oversized", "foreign", "version"};
+constexpr int kKinds = 5;
+// Bytes of MessagePack beside the texts: of an update (its array, three texts, the state, the incarnation),
+// and of the rest of a message (a map of nine one-letter keys with their values).
+constexpr std::size_t kUpdateBytes = 1 + 3 * 2 + 1 + 9;
+constexpr std::size_t kMessageBytes = 1 + 9 * 2 + 3 * 1 + 9 + 3 * 2 + 3;
+
+json Pack(const Update& update) {
+  json packed =
+      json::array({update.name, Text(update.address), static_cast<int>(update.state), update.incarnation});
+  if (!update.accuser.empty()) packed.push_back(update.accuser);
+  return packed;
+}
+
+// What follows throws json::exception or std::invalid_argument on anything out of form.
+std::string NameIn(const json& value) {
+  auto name = value.get<std::string>();
+  if (name.empty() || name.size() > kMostName) throw std::invalid_argument("name");
+  for (const char c : name)
+    if (static_cast<unsigned char>(c) <= ' ' || c == 0x7f) throw std::invalid_argument("name");
+  return name;
+}
+
+Udp::endpoint AddressIn(const json& value) {
+  const auto address = proxy::ParseUdpEndpoint(value.get<std::string>());
+  if (!address) throw std::invalid_argument("address");
+  return *address;
+}
+
+std::uint64_t FigureIn(const json& value) {
+  if (!value.is_number_unsigned()) throw std::invalid_argument("figure");
+  return value.get<std::uint64_t>();
+}
+
+template <typename Enum>
+Enum OneOf(const json& value, std::size_t count) {
+  const std::uint64_t index = FigureIn(value);
+  if (index >= count) throw std::invalid_argument("out of range");
+  return static_cast<Enum>(index);
+}
+
+Update UpdateIn(const json& value) {
+  Update update;
+  update.name = NameIn(value.at(0));
+  update.address = AddressIn(value.at(1));
+  update.state = OneOf<MemberState>(value.at(2), kStates.size());
+  update.incarnation = FigureIn(value.at(3));
+  if (value.size() > 4) update.accuser = NameIn(value.at(4));
+  return update;
+}
+
+Message MessageIn(const json& root) {
+  Message message;
+  message.kind = OneOf<Message::Kind>(root.at("k"), kKinds);
+  message.sender = UpdateIn(root.at("m"));
+  message.sequence = FigureIn(root.at("s"));
+  if (root.contains("t")) {
+    message.target = NameIn(root.at("t"));
+    message.target_address = AddressIn(root.at("a"));
+  }
+  const bool probes = message.kind == Message::Kind::kPing || message.kind == Message::Kind::kPingReq;
+  if (probes && message.target.empty()) throw std::invalid_argument("target");
+  if (root.contains("r")) message.reply = root.at("r").get<bool>();
+  for (const json& update : root.at("u")) message.updates.push_back(UpdateIn(update));
+  return message;
+}
+
+}  // namespace
+
+std::string_view Name(MemberState state) { return kStates.at(static_cast<std::size_t>(state)); }
+std::string_view Name(Drop drop) { return kDropNames.at(static_cast<std::size_t>(drop)); }
+
+std::string Text(const Udp::endpoint& address) {
+  return address.address().to_string() + ":" + std::to_string(address.port());
+}
+
+std::vector<std::uint8_t> Encode(std::string_view fleet, const Message& message) {
+  json root{{"v", kProtocolVersion},
+            {"f", fleet},
+            {"k", static_cast<int>(message.kind)},
+            {"m", Pack(message.sender)},
+            {"s", message.sequence}};
+  if (!message.target.empty()) {
+    root["t"] = message.target;
+    root["a"] = Text(message.target_address);
+  }
+  if (message.reply) root["r"] = true;
+  root["u"] = json::array();
+  for (const Update& update : message.updates) root["u"].push_back(Pack(update));
+  return json::to_msgpack(root);
+}
+
+std::variant<Message, Drop> Decode(std::string_view fleet, std::span<const std::uint8_t> datagram) {
+  if (datagram.size() > kMostDatagram) return Drop::kOversized;
+  try {
+    const json root = json::from_msgpack(datagram.begin(), datagram.end());
+    if (FigureIn(root.at("v")) != kProtocolVersion) return Drop::kOtherVersion;
+    if (root.at("f").get<std::string>() != fleet) return Drop::kForeignFleet;
+    return MessageIn(root);
+  } catch (const json::exception&) {
+    return Drop::kMalformed;
+  } catch (const std::invalid_argument&) {
+    return Drop::kMalformed;
+  }
+}
+
+std::size_t SizeOf(const Update& update) {
+  return kUpdateBytes + update.name.size() + update.accuser.size() + Text(update.address).size();
+}
+
+std::size_t RoomFor(std::string_view fleet, const Message& message) {
+  const std::size_t taken = kMessageBytes + fleet.size() + SizeOf(message.sender) + message.target.size() +
+                            Text(message.target_address).size();
+  return taken < kMostDatagram ? kMostDatagram - taken : 0;
+}
+
+}  // namespace brackenspoke::fleet
--- /dev/null
+++ b/src/fleet/message.h
@@ -0,0 +1,67 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// What members of a fleet say to each other: one MessagePack map a datagram, with the protocol's version and
+// the fleet's name. Whatever is not such a map, whole and within the size, is dropped with a reason.
+#ifndef BRACKENSPOKE_FLEET_MESSAGE_H_
+#define BRACKENSPOKE_FLEET_MESSAGE_H_
+
+#include <boost/asio/ip/udp.hpp>
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace brackenspoke::fleet {
+
+using Udp = boost::asio::ip::udp;
+
+inline constexpr std::size_t kMostDatagram = 1400;  // bytes; within one frame of an ordinary network
+inline constexpr std::size_t kMostName = 64;        // bytes of a member's name
+inline constexpr int kProtocolVersion = 1;
+
+enum class MemberState { kAlive, kSuspect, kDead, kLeft };
+std::string_view Name(MemberState state);
+
+// A claim about a member. `accuser` is who suspects, of kSuspect alone.
+struct Update {
+  std::string name;
+  Udp::endpoint address;  // where the member is reached
+  MemberState state = MemberState::kAlive;
+  std::uint64_t incarnation = 0;
+  std::string accuser;
+};
+
+struct Message {
+  // SWIM's ping, ping-req and ack, Lifeguard's nack, and the exchange of whole tables.
+  enum class Kind { kPing, kPingReq, kAck, kNack, kSync };
+  Kind kind = Kind::kPing;
+  Update sender;               // as it sees itself: alive, or left
+  std::uint64_t sequence = 0;  // of the probe that this belongs to
+  std::string target;          // who is pinged, or is to be
+  Udp::endpoint target_address;
+  bool reply = false;  // of kSync: the receiver is to send its table, too
+  std::vector<Update> updates;
+};
+
+// Why a datagram was dropped.
+enum class Drop { kMalformed, kOversized, kForeignFleet, kOtherVersion };
+inline constexpr int kDrops = 4;
+std::string_view Name(Drop drop);
+
+// At most kMostDatagram bytes, if the updates were taken by RoomFor.
+std::vector<std::uint8_t> Encode(std::string_view fleet, const Message& message);
+std::variant<Message, Drop> Decode(std::string_view fleet, std::span<const std::uint8_t> datagram);
+
+// Bytes that an update takes in a message, at most; and those that a message has for updates.
+std::size_t SizeOf(const Update& update);
+std::size_t RoomFor(std::string_view fleet, const Message& message);
+
+std::string Text(const Udp::endpoint& address);  // host:port
+
+}  // namespace brackenspoke::fleet
+
+#endif  // BRACKENSPOKE_FLEET_MESSAGE_H_
--- a/src/proxy/config.cpp
+++ b/src/proxy/config.cpp
@@ -154,6 +154,12 @@
   return all;
 }
 
+// As the fleet's messages carry it and MEMBERS prints it.
+bool FitForMember(const std::string& name) {
+  return !name.empty() && name.size() <= 64 &&
+         std::none_of(name.begin(), name.end(), [](unsigned char c) { return c <= ' ' || c == 0x7f; });
+}
+
 Config Read(const json& root, const Environment& env) {
   Config config;
   const char* name = env("ROUTER_NAME");
@@ -199,6 +205,8 @@
   std::vector<std::string> faults;
   config.fleet = ReadFleet(root, &faults);
   config.state = ReadState(root, &faults);
+  if (config.fleet.on && !FitForMember(config.name))
+    faults.push_back("name is not 1 to 64 bytes without blanks, as a member of a fleet needs");
   if (!faults.empty()) throw BadConfig(Joined(faults));
   config.file = WithoutKnown(root);
   return config;
--- a/src/proxy/operators.cpp
+++ b/src/proxy/operators.cpp
@@ -29,11 +29,12 @@
   Verb verb;
   bool takes_id;
 };
-constexpr Form kForms[] = {{"PING", Verb::kPing, false},
-                           {"DETACH", Verb::kDetach, true},
-                           {"ATTACH", Verb::kAttach, true},
-                           {"LAMEDUCK", Verb::kLameduck, false},
-                           {"REJOIN", Verb::kRejoin, false}};
+constexpr Form kForms[] = {{"PING", Verb::kPing, false},     {"DETACH", Verb::kDetach, true},
+                           {"ATTACH", Verb::kAttach, true},  {"LAMEDUCK", Verb::kLameduck, false},
+                           {"REJOIN", Verb::kRejoin, false}, {"MEMBERS", Verb::kMembers, false}};
+
+// A call that only asks is not worth a line of the log.
+bool Asks(Verb verb) { return verb == Verb::kPing || verb == Verb::kMembers; }
 
 std::string_view NextWord(std::string_view* rest) {
   const auto from = std::min(rest->find_first_not_of(" \t"), rest->size());
@@ -109,9 +110,9 @@
     const auto call = ParseCall(line);
     if (const auto* why = std::get_if<std::string>(&call)) return Answer({false, *why});
     owner_->handler_.OnCall(std::get<OperatorCall>(call),
-                            [weak = weak_from_this(), line = std::string(line)](OperatorReply reply) {
-                              if (!line.starts_with("PING"))
-                                log::Info("operators", line + ": " + Line(reply));
+                            [weak = weak_from_this(), line = std::string(line),
+                             asks = Asks(std::get<OperatorCall>(call).verb)](OperatorReply reply) {
+                              if (!asks) log::Info("operators", line + ": " + Line(reply));
                               if (const auto self = weak.lock()) self->Answer(reply);
                             });
   }
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -114,6 +114,10 @@
     });
   }
   if (config_->operators) operators_ = std::make_unique<Operators>(io, *config_->operators, *this);
+  if (config_->fleet.on) {
+    const std::uint64_t seed = config_->seed ^ StableHash(config_->name);
+    fleet_ = std::make_unique<fleet::Node>(io, config_->fleet, config_->name, seed);
+  }
   overlap_.Watch([this] { OnLook(); });
 }
 
@@ -133,6 +137,7 @@
 bool Proxy::Ready() const { return Taking() || (clients_->Stopping() && overlap_.OtherTakes()); }
 
 void Proxy::Stop(std::function<void()> done) {
+  if (fleet_) fleet_->Stop();
   const bool replaced = overlap_.OtherTakes();
   if (replaced) clients_->Steer(overlap_.OtherIsLater() ? 1 : 0);
   clients_->Stop(replaced ? kReplacedGrace : kStopGrace, replaced ? kReplacedIdle : kStopIdle,
@@ -192,11 +197,11 @@
     case OperatorCall::Verb::kPing:
       return reply(Ping());
     case OperatorCall::Verb::kLameduck:
-      clients_->Drain();
-      overlap_.SetTaking(false);
-      return reply({true, "draining"});
+      return reply(Lameduck());
     case OperatorCall::Verb::kRejoin:
       return reply(Rejoin());
+    case OperatorCall::Verb::kMembers:
+      return reply(fleet_ ? OperatorReply{true, fleet_->Describe()} : OperatorReply{false, "no fleet"});
     case OperatorCall::Verb::kDetach:
     case OperatorCall::Verb::kAttach:
       return ChangeMaintenance(call, std::move(reply));
@@ -212,8 +217,16 @@
   return {true, "taking clients"};
 }
 
+OperatorReply Proxy::Lameduck() {
+  clients_->Drain();
+  overlap_.SetTaking(false);
+  if (fleet_) fleet_->Leave();
+  return {true, "draining"};
+}
+
 OperatorReply Proxy::Rejoin() {
   if (clients_->Stopping()) return {false, "stopping"};
+  if (fleet_) fleet_->Rejoin();
   clients_->Rejoin();
   overlap_.SetTaking(Taking());
   return {true, "taking clients"};
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -22,6 +22,7 @@
 #include "clock.h"
 #include "config.h"
 #include "discovery.h"
+#include "fleet/node.h"
 #include "maintenance.h"
 #include "members.h"
 #include "operators.h"
@@ -82,6 +83,7 @@
   };
 
   OperatorReply Ping();
+  OperatorReply Lameduck();
   OperatorReply Rejoin();
   void ChangeMaintenance(const OperatorCall& call, OnReply reply);
   void ObeyMaintenance();
@@ -136,6 +138,7 @@
   std::unique_ptr<Clients> clients_;
   std::unique_ptr<Discovery> discovery_;
   std::unique_ptr<Operators> operators_;
+  std::unique_ptr<fleet::Node> fleet_;  // where the configuration has a fleet
 };
 
 }  // namespace brackenspoke::proxy
--- a/src/proxy/schema.cpp
+++ b/src/proxy/schema.cpp
@@ -90,18 +90,7 @@
   }
 
   static std::optional<Udp::endpoint> Parse(const json& value) {
-    if (!value.is_string()) return std::nullopt;
-    const auto text = value.get<std::string>();
-    const auto colon = text.rfind(':');
-    if (colon == std::string::npos) return std::nullopt;
-    boost::system::error_code bad;
-    const auto address = boost::asio::ip::make_address(text.substr(0, colon), bad);
-    unsigned port = 0;
-    const char* end = text.data() + text.size();
-    const auto [at, error] = std::from_chars(text.data() + colon + 1, end, port);
-    if (bad || error != std::errc() || at != end || port > 65535 || colon + 1 == text.size())
-      return std::nullopt;
-    return Udp::endpoint(address, static_cast<unsigned short>(port));
+    return value.is_string() ? ParseUdpEndpoint(value.get<std::string>()) : std::nullopt;
   }
 
   void Fault(const std::string& key, const std::string& what) {
@@ -115,11 +104,26 @@
 
 }  // namespace
 
+std::optional<Udp::endpoint> ParseUdpEndpoint(const std::string& text) {
+  const auto colon = text.rfind(':');
+  if (colon == std::string::npos) return std::nullopt;
+  boost::system::error_code bad;
+  const auto address = boost::asio::ip::make_address(text.substr(0, colon), bad);
+  unsigned port = 0;
+  const char* end = text.data() + text.size();
+  const auto [at, error] = std::from_chars(text.data() + colon + 1, end, port);
+  if (bad || error != std::errc() || at != end || port > 65535 || colon + 1 == text.size())
+    return std::nullopt;
+  return Udp::endpoint(address, static_cast<unsigned short>(port));
+}
+
 FleetSection ReadFleet(const json& root, std::vector<std::string>* faults) {
   FleetSection fleet;
-  Section section(root, "fleet",
-                  {"name", "bind", "seeds", "probe_interval_ms", "suspicion_multiplier", "indirect_probes"},
-                  faults);
+  Section section(
+      root, "fleet",
+      {"name", "bind", "advertise", "seeds", "probe_interval_ms", "suspicion_multiplier", "indirect_probes",
+       "retransmit_multiplier", "sync_interval_ms", "forget_ms", "most_bytes_per_second"},
+      faults);
   fleet.on = section.present();
   section.Text("name", &fleet.name);
   section.Address("bind", fleet.on, &fleet.bind);
@@ -127,7 +131,20 @@
   section.Time("probe_interval_ms", 10, 60000, &fleet.probe_interval);
   section.Whole("suspicion_multiplier", 1, 100, &fleet.suspicion_multiplier);
   section.Whole("indirect_probes", 0, 16, &fleet.indirect_probes);
-  if (fleet.on && fleet.name.empty()) faults->push_back("fleet.name is empty");
+  fleet.advertise = fleet.bind;
+  section.Address("advertise", false, &fleet.advertise);
+  section.Whole("retransmit_multiplier", 1, 16, &fleet.retransmit_multiplier);
+  section.Time("sync_interval_ms", 100, 600000, &fleet.sync_interval);
+  section.Time("forget_ms", 1000, 86400000, &fleet.forget);
+  section.Whole("most_bytes_per_second", 4096, 1 << 30, &fleet.most_bytes_per_second);
+  if (!fleet.on) return fleet;
+  if (fleet.name.empty()) faults->push_back("fleet.name is empty");
+  // A member must not be forgotten sooner than a suspicion can end: 6 times the shortest, in a fleet of
+  // 10,000.
+  const Milliseconds longest = fleet.probe_interval * (fleet.suspicion_multiplier * 6 * 4);
+  if (fleet.forget < longest)
+    faults->push_back("fleet.forget_ms is under " + std::to_string(longest.count()) +
+                      ", the longest suspicion");
   return fleet;
 }
 
--- a/src/proxy/schema.h
+++ b/src/proxy/schema.h
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/udp.hpp>
 #include <chrono>
 #include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,8 +23,13 @@
   boost::asio::ip::udp::endpoint bind;                // this process's UDP address
   std::vector<boost::asio::ip::udp::endpoint> seeds;  // whom to ask first
   Milliseconds probe_interval{1000};
-  int suspicion_multiplier = 4;  // a suspect is dead after this many probe intervals
-  int indirect_probes = 3;       // k of SWIM (Das, Gupta, Motivala 2002)
+  int suspicion_multiplier = 4;              // a suspect is dead after this many probe intervals
+  int indirect_probes = 3;                   // k of SWIM (Das, Gupta, Motivala 2002)
+  boost::asio::ip::udp::endpoint advertise;  // where others reach this process; `bind` unless it is set
+  int retransmit_multiplier = 4;             // lambda of SWIM
+  Milliseconds sync_interval{10000};         // between two exchanges of the whole table
+  Milliseconds forget{3600000};              // until one that is dead or has left is dropped from the table
+  int most_bytes_per_second = 65536;         // sent by this process
 };
 
 // `state`: absent, the directory is $TMPDIR as before.
@@ -33,6 +39,10 @@
   Milliseconds max_age{60000};  // an older snapshot is not applied
 };
 
+// "a.b.c.d:port", or "v6:port", which is what boost::asio prints with a colon between; nothing if it is
+// neither.
+std::optional<boost::asio::ip::udp::endpoint> ParseUdpEndpoint(const std::string& text);
+
 // Reads `fleet` and `state` of the file's root object. Appends one line per fault to `faults`: an unknown
 // key, a value of the wrong type, a figure out of range, an address that is none.
 FleetSection ReadFleet(const nlohmann::json& root, std::vector<std::string>* faults);
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -85,6 +85,15 @@
   for (const std::string& fault : faults) EXPECT_EQ(fault.find('\n'), std::string::npos);
 }
 
+TEST(Check, TurnsDownAMemberThatWouldBeForgottenTooSoonAndANameThatIsNone) {
+  json config = WithFleet();
+  config["fleet"]["forget_ms"] = 23000;  // 24 x 5 x 200 ms are the least
+  EXPECT_TRUE(Has(Faults(config.dump()), "fleet.forget_ms is under 24000"));
+  config["fleet"].erase("forget_ms");
+  config["name"] = "n 1";
+  EXPECT_TRUE(Has(Faults(config.dump()), "name is not 1 to 64 bytes"));
+}
+
 TEST(Check, NamesAFileCutShortAWrongTypeAndAMissingAddress) {
   const std::string whole = WithFleet().dump();
   EXPECT_TRUE(Has(Faults(whole.substr(0, whole.size() / 2)), "JSON"));
--- /dev/null
+++ b/tests/fleet/cluster.h
@@ -0,0 +1,145 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Proxies that are members of one fleet, with the fault relay on every path between them: each member is
+// reached at its route, and a route tells its senders apart, so that a fault can be one pair's.
+#ifndef BRACKENSPOKE_TESTS_FLEET_CLUSTER_H_
+#define BRACKENSPOKE_TESTS_FLEET_CLUSTER_H_
+
+#include <boost/asio/ip/udp.hpp>
+#include <deque>
+#include <sstream>
+
+#include "harness.h"
+#include "loopback.h"
+
+namespace brackenspoke::testing::fleet {
+
+using Udp = boost::asio::ip::udp;
+
+inline std::string Host(unsigned short port) { return "127.0.0.1:" + std::to_string(port); }
+
+// Free UDP ports, all at once so that none comes twice.
+inline std::vector<unsigned short> FreeUdpPorts(std::size_t count) {
+  boost::asio::io_context io;
+  std::deque<Udp::socket> held;
+  std::vector<unsigned short> ports;
+  while (ports.size() < count) {
+    held.emplace_back(io, Udp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+    ports.push_back(held.back().local_endpoint().port());
+  }
+  return ports;
+}
+
+class Cluster {
+ public:
+  // `section` holds keys of the fleet section in place of the defaults; the first two members are the seeds.
+  // `config` is the rest of each one's configuration.
+  Cluster(std::size_t count, nlohmann::json section,
+          nlohmann::json config = ConfigJson(Tcp::endpoint(kAnyPort.address(), 9), {}))
+      : binds_(FreeUdpPorts(count)), relay_(RELAY_PATH, Routes(binds_)), fleet_(PROXY_PATH) {
+    for (std::size_t i = 0; i < std::min<std::size_t>(2, count); ++i)
+      section["seeds"].push_back(Host(relay_.Port(Name(i))));
+    for (std::size_t i = 0; i < count; ++i) {
+      section["bind"] = Host(binds_[i]);
+      section["advertise"] = Host(relay_.Port(Name(i)));
+      config["fleet"] = section;
+      fleet_.Start(config);
+    }
+  }
+
+  static std::string Name(std::size_t index) {
+    std::string name = std::to_string(index + 1);
+    name.insert(0, 1, 'n');
+    return name;
+  }
+  Member& operator[](std::size_t index) { return fleet_[index]; }
+  Process& process(std::size_t index) { return *fleet_[index].process; }
+  std::size_t size() const { return fleet_.size(); }
+  void Restart(std::size_t index) { fleet_.Restart(index); }
+  std::string Relay(const std::string& line) const { return relay_.Say(line); }
+  unsigned short bind(std::size_t index) const { return binds_.at(index); }
+
+  // No datagram passes between a member of `some` and one that is not, either way.
+  void Cut(const std::vector<std::size_t>& some) {
+    const auto within = [&](std::size_t i) { return std::find(some.begin(), some.end(), i) != some.end(); };
+    for (std::size_t to = 0; to < size(); ++to)
+      for (std::size_t from = 0; from < size(); ++from)
+        if (within(to) != within(from)) Relay("FAULT " + Name(to) + " from=" + Host(binds_[from]) + " cut=1");
+  }
+  void Heal() const { Relay("CLEAR *"); }
+
+  // Whether `observer` logs that `member` is in `state`, from line `from` on.
+  std::optional<std::size_t> WaitForState(std::size_t observer, std::size_t member, const std::string& state,
+                                          std::size_t from = 0, milliseconds within = kBound) {
+    const auto line =
+        process(observer).WaitFor("member=" + Name(member) + " state=" + state + " ", from, within);
+    if (!line) return std::nullopt;
+    return line->first;
+  }
+  // Every member holds every other as alive.
+  bool WaitUntilWhole() {
+    for (std::size_t i = 0; i < size(); ++i)
+      for (std::size_t j = 0; j < size(); ++j)
+        if (i != j && !WaitForState(i, j, "alive")) return false;
+    return true;
+  }
+  std::vector<std::size_t> Marks() {
+    std::vector<std::size_t> marks;
+    for (std::size_t i = 0; i < size(); ++i) marks.push_back(process(i).Mark());
+    return marks;
+  }
+
+  // What MEMBERS says of each member: "state incarnation".
+  std::map<std::string, std::string> View(std::size_t observer) {
+    std::map<std::string, std::string> view;
+    const std::string answer = Call(fleet_[observer].operators, "MEMBERS");
+    std::istringstream entries(answer.substr(4, answer.find(';') - 4));
+    for (std::string entry; std::getline(entries, entry, ',');) {
+      std::istringstream words(entry);
+      std::string name, state, incarnation;
+      words >> name >> state >> incarnation;
+      view[name] = state + " " + incarnation;
+    }
+    return view;
+  }
+  // A count at the end of MEMBERS.
+  std::uint64_t Counted(std::size_t observer, const std::string& key) {
+    const std::string answer = Call(fleet_[observer].operators, "MEMBERS");
+    const auto at = answer.find(" " + key + "=");
+    if (at == std::string::npos) throw std::runtime_error("no " + key + " in: " + answer);
+    return std::stoull(answer.substr(at + key.size() + 2));
+  }
+  // All that are in `some` have the same view in the end.
+  bool WaitForOneView(const std::vector<std::size_t>& some, milliseconds within) {
+    const auto until = std::chrono::steady_clock::now() + within;
+    do {
+      const auto first = View(some.front());
+      if (std::all_of(some.begin(), some.end(), [&](std::size_t i) { return View(i) == first; })) return true;
+      std::this_thread::sleep_for(milliseconds(20));
+    } while (std::chrono::steady_clock::now() < until);
+    return false;
+  }
+  // Lines of all members that hold `part`.
+  std::size_t Count(const std::string& part) {
+    std::size_t count = 0;
+    for (std::size_t i = 0; i < size(); ++i)
+      for (const std::string& line : process(i).Lines()) count += line.find(part) != std::string::npos;
+    return count;
+  }
+
+ private:
+  static std::vector<std::string> Routes(const std::vector<unsigned short>& binds) {
+    std::vector<std::string> routes;
+    for (std::size_t i = 0; i < binds.size(); ++i)
+      routes.push_back(Name(i) + "=udp:127.0.0.1:0=" + Host(binds[i]));
+    return routes;
+  }
+
+  std::vector<unsigned short> binds_;
+  class Relay relay_;
+  Fleet fleet_;
+};
+
+}  // namespace brackenspoke::testing::fleet
+
+#endif  // BRACKENSPOKE_TESTS_FLEET_CLUSTER_H_
--- a/tests/fleet/harness.h
+++ b/tests/fleet/harness.h
@@ -112,6 +112,13 @@
     const std::lock_guard lock(mutex_);
     return lines_;
   }
+  // How many lines there are, to wait for later ones only.
+  std::size_t Mark() { return Lines().size(); }
+  // When line `index` was read.
+  std::chrono::steady_clock::time_point When(std::size_t index) {
+    const std::lock_guard lock(mutex_);
+    return read_at_.at(index);
+  }
 
  private:
   static std::vector<char*> Pointers(std::vector<std::string>& words) {
@@ -127,8 +134,10 @@
     for (ssize_t n; (n = ::read(from, piece, sizeof piece)) > 0;) {
       part.append(piece, static_cast<std::size_t>(n));
       const std::lock_guard lock(mutex_);
-      for (std::size_t end; (end = part.find('\n')) != std::string::npos; part.erase(0, end + 1))
+      for (std::size_t end; (end = part.find('\n')) != std::string::npos; part.erase(0, end + 1)) {
         lines_.push_back(part.substr(0, end));
+        read_at_.push_back(std::chrono::steady_clock::now());
+      }
       changed_.notify_all();
     }
     ::close(from);
@@ -143,6 +152,7 @@
   std::mutex mutex_;
   std::condition_variable changed_;
   std::vector<std::string> lines_;
+  std::vector<std::chrono::steady_clock::time_point> read_at_;
   bool ended_ = false;
 };
 
@@ -217,21 +227,25 @@
     member.name.insert(0, 1, 'n');
     member.folder = std::make_unique<Folder>();
     config["name"] = member.name;
-    config["listen"] = "127.0.0.1:" + std::to_string(FreePort());
     config["ops"] = "127.0.0.1:0";
-    const auto file = member.folder->path / "config.json";
-    std::ofstream(file) << config.dump();
-    member.process =
-        std::make_unique<Process>(path_, std::vector<std::string>{"--config", file.string()},
-                                  std::map<std::string, std::string>{{"TMPDIR", member.folder->path}});
-    const auto listening = member.process->WaitFor(kListening);
-    if (!listening) throw std::runtime_error(member.name + " did not start");
-    member.clients = EndpointAfter(listening->second, "clients at ");
-    member.operators = EndpointAfter(listening->second, "operators at ");
+    for (int tries = 1;; ++tries) {
+      config["listen"] = "127.0.0.1:" + std::to_string(FreePort());
+      std::ofstream(member.folder->path / "config.json") << config.dump();
+      if (Launch(member)) break;
+      // Somebody else may have taken the port meanwhile.
+      if (tries == 5 || !member.process->WaitFor("Address already in use"))
+        throw std::runtime_error(member.name + " did not start");
+    }
     members_.push_back(std::move(member));
     return members_.size() - 1;
   }
 
+  // SIGKILL, unless it has ended, and once more with the same configuration and folder.
+  void Restart(std::size_t index) {
+    members_.at(index).process->Kill();
+    if (!Launch(members_.at(index))) throw std::runtime_error(members_.at(index).name + " did not start");
+  }
+
   Member& operator[](std::size_t index) { return members_.at(index); }
   std::size_t size() const { return members_.size(); }
 
@@ -242,10 +256,48 @@
   static constexpr const char* kListening = "process: started: clients at ";
 
  private:
+  bool Launch(Member& member) {
+    const std::string file = member.folder->path / "config.json";
+    member.process =
+        std::make_unique<Process>(path_, std::vector<std::string>{"--config", file},
+                                  std::map<std::string, std::string>{{"TMPDIR", member.folder->path}});
+    const auto listening = member.process->WaitFor(kListening);
+    if (!listening) return false;
+    member.clients = EndpointAfter(listening->second, "clients at ");
+    member.operators = EndpointAfter(listening->second, "operators at ");
+    return true;
+  }
+
   std::string path_;
   std::vector<Member> members_;
 };
 
+// A relay with the routes given, NAME=udp|tcp:LISTEN=TARGET; its control, and each route's own address.
+class Relay {
+ public:
+  Relay(const std::string& path, const std::vector<std::string>& routes) : process_(path, Args(routes), {}) {
+    const auto line = process_.WaitFor("relay control ");
+    if (!line) throw std::runtime_error("the relay did not start");
+    control_ = EndpointAfter(line->second, "relay control ");
+  }
+  std::string Say(const std::string& line) const { return Call(control_, line); }
+  unsigned short Port(const std::string& route) {
+    const auto line = process_.WaitFor("relay route " + route + " ");
+    if (!line) throw std::runtime_error("no route " + route);
+    return EndpointAfter(line->second, "relay route " + route + " ").port();
+  }
+
+ private:
+  static std::vector<std::string> Args(const std::vector<std::string>& routes) {
+    std::vector<std::string> args{"--seed", "7"};
+    for (const std::string& route : routes) args.insert(args.end(), {"--route", route});
+    return args;
+  }
+
+  Process process_;
+  Tcp::endpoint control_;
+};
+
 }  // namespace brackenspoke::testing::fleet
 
 #endif  // BRACKENSPOKE_TESTS_FLEET_HARNESS_H_
--- a/tests/fleet/relay.cpp
+++ b/tests/fleet/relay.cpp
@@ -7,12 +7,13 @@
 //   relay [--seed N] --route NAME=udp|tcp:LISTEN=TARGET ...
 //
 // Each route listens on LISTEN (port 0: one that is free) and forwards to TARGET; datagrams that come back to
-// a UDP route's socket from TARGET go to whoever sent last. The relay prints `relay control HOST:PORT` and
-// one line `relay route NAME HOST:PORT` per route on standard output, then takes calls on the control
-// address, one line a connection, answered by one line beginning with ACK or NAK:
+// a UDP route's socket from TARGET go to whoever sent last. NAME * stands for every route. The relay prints
+// `relay control HOST:PORT` and one line `relay route NAME HOST:PORT` per route on standard output, then
+// takes calls on the control address, one line a connection, answered by one line beginning with ACK or NAK:
 //
-//   FAULT NAME [drop=SHARE] [delay=MS] [duplicate=SHARE] [reorder=SHARE] [cut=0|1]   set the route's faults
-//   CLEAR NAME                                                                       no faults
+//   FAULT NAME [from=HOST:PORT] [drop=SHARE] [delay=MS] [duplicate=SHARE] [reorder=SHARE] [cut=0|1]
+//                      set the route's faults, or those of a pair: of the datagrams that come from one sender
+//   CLEAR NAME         no faults, of the route and of its pairs
 //   COUNTS NAME        ACK passed=N dropped=N duplicated=N reordered=N cut=N
 //
 // A cut drops every datagram and closes the route's TCP connections, and refuses new ones while it holds. A
@@ -28,6 +29,7 @@
 #include <boost/asio/write.hpp>
 #include <cstdio>
 #include <functional>
+#include <iterator>
 #include <map>
 #include <memory>
 #include <optional>
@@ -72,13 +74,14 @@
   virtual std::string address() const = 0;
   virtual void OnCut() {}
   Faults faults;
+  std::map<std::string, Faults> pairs;  // by sender, in place of the route's
   Counts counts;
 
  protected:
-  // Sends `piece` by `send` as the faults say. A byte stream keeps its order and loses nothing: only a delay
+  // Sends `piece` by `send` as `faults` say. A byte stream keeps its order and loses nothing: only a delay
   // or a cut `whole`.
   template <typename Send>
-  void Pass(Bytes piece, Send send, bool whole = false) {
+  void Pass(const Faults& faults, Bytes piece, Send send, bool whole = false) {
     if (faults.cut) return void(++counts.cut);
     if (whole) {
       ++counts.passed;
@@ -128,7 +131,8 @@
       if (failed) return;
       if (from_ != target_) sender_ = from_;
       const Udp::endpoint to = from_ == target_ ? sender_ : target_;
-      Pass(std::make_shared<const std::vector<char>>(in_.begin(), in_.begin() + static_cast<long>(n)),
+      Pass(FaultsOf(from_),
+           std::make_shared<const std::vector<char>>(in_.begin(), in_.begin() + static_cast<long>(n)),
            [this, to](const Bytes& piece) {
              Error ignored;
              socket_.send_to(asio::buffer(*piece), to, 0, ignored);
@@ -137,6 +141,12 @@
     });
   }
 
+  const Faults& FaultsOf(const Udp::endpoint& from) const {
+    if (pairs.empty()) return faults;
+    const auto pair = pairs.find(from.address().to_string() + ":" + std::to_string(from.port()));
+    return pair == pairs.end() ? faults : pair->second;
+  }
+
   Udp::socket socket_;
   Udp::endpoint target_, from_, sender_;
   std::array<char, 65536> in_{};
@@ -191,6 +201,7 @@
                                                                                  std::size_t n) {
       if (failed) return pair->Close();
       Pass(
+          faults,
           std::make_shared<const std::vector<char>>(buffer->begin(), buffer->begin() + static_cast<long>(n)),
           [pair, &to](const Bytes& piece) {
             Error ignored;
@@ -271,13 +282,21 @@
 
   std::string Answer(const std::string& call) {
     std::istringstream words(call);
-    std::string verb, name;
+    std::string verb, name, answer;
     words >> verb >> name;
-    const auto found = routes_.find(name);
-    if (found == routes_.end()) return "NAK unknown route";
-    Route& route = *found->second;
+    const std::string rest{std::istreambuf_iterator<char>(words), {}};
+    if (name != "*") {
+      const auto found = routes_.find(name);
+      return found == routes_.end() ? "NAK unknown route" : AnswerOf(*found->second, verb, rest);
+    }
+    for (const auto& [each, route] : routes_) answer = AnswerOf(*route, verb, rest);
+    return answer;
+  }
+
+  static std::string AnswerOf(Route& route, const std::string& verb, const std::string& rest) {
     if (verb == "CLEAR") {
       route.faults = {};
+      route.pairs.clear();
       return "ACK cleared";
     }
     if (verb == "COUNTS") {
@@ -286,18 +305,29 @@
              " duplicated=" + std::to_string(c.duplicated) + " reordered=" + std::to_string(c.reordered) +
              " cut=" + std::to_string(c.cut);
     }
-    if (verb != "FAULT") return "NAK unknown call";
-    Faults next = route.faults;
+    return verb == "FAULT" ? SetFaults(route, rest) : "NAK unknown call";
+  }
+
+  static std::string SetFaults(Route& route, const std::string& rest) {
+    std::istringstream words(rest);
+    std::string from;
+    std::vector<std::pair<std::string, double>> figures;
     for (std::string word; words >> word;) {
       const auto equals = word.find('=');
       if (equals == std::string::npos) return "NAK no key=value: " + word;
-      const std::string key = word.substr(0, equals);
-      double value = 0;
+      const std::string key = word.substr(0, equals), value = word.substr(equals + 1);
       try {
-        value = std::stod(word.substr(equals + 1));
+        if (key == "from")
+          from = value;
+        else
+          figures.emplace_back(key, std::stod(value));
       } catch (const std::exception&) {
         return "NAK no number: " + word;
       }
+    }
+    const auto pair = route.pairs.find(from);
+    Faults next = pair == route.pairs.end() ? route.faults : pair->second;
+    for (const auto& [key, value] : figures) {
       if (key == "drop")
         next.drop = value;
       else if (key == "duplicate")
@@ -311,8 +341,8 @@
       else
         return "NAK unknown fault: " + key;
     }
-    route.faults = next;
-    if (next.cut) route.OnCut();
+    (from.empty() ? route.faults : route.pairs[from]) = next;
+    if (next.cut && from.empty()) route.OnCut();
     return "ACK faults set";
   }
 
--- a/tests/fleet/relay_test.cpp
+++ b/tests/fleet/relay_test.cpp
@@ -17,21 +17,7 @@
 
 const asio::ip::address kLoopback = asio::ip::make_address("127.0.0.1");
 
-// A relay with one route to `target`; its control address and the route's own.
-struct RunningRelay {
-  RunningRelay(const std::string& kind, const std::string& target)
-      : process(RELAY_PATH, {"--seed", "7", "--route", "r=" + kind + ":127.0.0.1:0=" + target}, {}) {
-    const auto control_line = process.WaitFor("relay control ");
-    const auto route_line = process.WaitFor("relay route r ");
-    if (!control_line || !route_line) throw std::runtime_error("the relay did not start");
-    control = EndpointAfter(control_line->second, "relay control ");
-    route_port = EndpointAfter(route_line->second, "relay route r ").port();
-  }
-  std::string Say(const std::string& line) { return Call(control, line); }
-  Process process;
-  Tcp::endpoint control;
-  unsigned short route_port = 0;
-};
+std::string Host(unsigned short port) { return "127.0.0.1:" + std::to_string(port); }
 
 // Two UDP ends and a relay between them.
 class UdpPair : public ::testing::Test {
@@ -39,13 +25,13 @@
   UdpPair()
       : far(io, Udp::endpoint(kLoopback, 0)),
         near(io, Udp::endpoint(kLoopback, 0)),
-        relay("udp", "127.0.0.1:" + std::to_string(far.local_endpoint().port())) {
+        relay(RELAY_PATH, {"r=udp:127.0.0.1:0=" + Host(far.local_endpoint().port())}) {
     const timeval wait{0, 200000};  // a datagram that has not come in this time is taken as lost
     ::setsockopt(far.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof wait);
   }
   void Send(int n) {
     const std::string text = std::to_string(n);
-    near.send_to(asio::buffer(text), Udp::endpoint(kLoopback, relay.route_port));
+    near.send_to(asio::buffer(text), Udp::endpoint(kLoopback, relay.Port("r")));
   }
   // What came to the far end, in order, until none came for a while.
   std::vector<int> Received() {
@@ -60,7 +46,7 @@
 
   asio::io_context io;
   Udp::socket far, near;
-  RunningRelay relay;
+  Relay relay;
 };
 
 TEST_F(UdpPair, PassesEveryDatagramWithoutFaults) {
@@ -89,6 +75,18 @@
   EXPECT_EQ(relay.Say("COUNTS r"), "ACK passed=4 dropped=10 duplicated=1 reordered=1 cut=1");
 }
 
+TEST_F(UdpPair, FaultsOfAPairLeaveOtherSendersAlone) {
+  const std::string pair = Host(near.local_endpoint().port());
+  ASSERT_EQ(relay.Say("FAULT * from=" + pair + " cut=1"), "ACK faults set");
+  Send(1);
+  Udp::socket other(io, Udp::endpoint(kLoopback, 0));
+  other.send_to(asio::buffer("2", 1), Udp::endpoint(kLoopback, relay.Port("r")));
+  EXPECT_EQ(Received(), (std::vector<int>{2}));
+  ASSERT_EQ(relay.Say("CLEAR *"), "ACK cleared");
+  Send(3);
+  EXPECT_EQ(Received(), (std::vector<int>{3}));
+}
+
 TEST_F(UdpPair, TurnsDownCallsThatAreNone) {
   EXPECT_EQ(relay.Say("FAULT q drop=1"), "NAK unknown route");
   EXPECT_EQ(relay.Say("FAULT r drop"), "NAK no key=value: drop");
@@ -99,9 +97,9 @@
 TEST(TcpRoute, CarriesABytestreamAndACutClosesIt) {
   asio::io_context io;
   Tcp::acceptor far(io, Tcp::endpoint(kLoopback, 0));
-  RunningRelay relay("tcp", "127.0.0.1:" + std::to_string(far.local_endpoint().port()));
+  Relay relay(RELAY_PATH, {"r=tcp:127.0.0.1:0=" + Host(far.local_endpoint().port())});
   Tcp::socket near(io);
-  near.connect(Tcp::endpoint(kLoopback, relay.route_port));
+  near.connect(Tcp::endpoint(kLoopback, relay.Port("r")));
   Tcp::socket accepted = far.accept();
   asio::write(near, asio::buffer(std::string("hello")));
   std::string got(5, '\0');
