--- a/bench/membership_rounds.cpp
+++ b/bench/membership_rounds.cpp
@@ -6,17 +6,13 @@
 //
 //   membership_rounds [--sizes 5,20,100] [--losses 0,10,30] [--kills 10] [--interval MS]
 #include <CLI/CLI.hpp>
-#include <algorithm>
-#include <cmath>
 #include <cstdio>
-#include <set>
 
-#include "cluster.h"
+#include "fleet_bench.h"
 
 namespace {
 
-using namespace brackenspoke::testing::fleet;  // the harness is this program's one other half
-using Clock = std::chrono::steady_clock;
+using namespace brackenspoke::bench;
 
 struct Row {
   std::vector<double> detection;  // seconds, of each survivor and each kill
@@ -25,21 +21,6 @@
   double bytes_per_second = 0;  // sent by a member while nothing happens
 };
 
-double Seconds(Clock::duration span) { return std::chrono::duration<double>(span).count(); }
-
-double Quantile(std::vector<double> values, double q) {
-  if (values.empty()) return std::nan("");
-  std::sort(values.begin(), values.end());
-  return values[static_cast<std::size_t>(q * static_cast<double>(values.size() - 1) + 0.5)];
-}
-
-double BytesSent(Cluster& cluster, const std::set<std::size_t>& dead) {
-  double sum = 0;
-  for (std::size_t i = 0; i < cluster.size(); ++i)
-    if (!dead.contains(i)) sum += static_cast<double>(cluster.Counted(i, "bytes_sent"));
-  return sum / static_cast<double>(cluster.size() - dead.size());
-}
-
 // Deaths that any process has logged of a member that lived then.
 std::size_t FalseDeaths(Cluster& cluster, const std::set<std::size_t>& dead) {
   std::size_t count = cluster.Count(" state=dead ");
--- a/include/brackenspoke/balancer.h
+++ b/include/brackenspoke/balancer.h
@@ -141,8 +141,27 @@
   // The index that each class and each tenant of them had before; -1: it is new.
   std::vector<int> classes_before, tenants_before;
 };
+// Another proxy of the fleet has taken the server out until then, on `failures` of `attempts`: advice.
+struct PeerVerdict {
+  ServerId server = 0;
+  TimePoint until{};
+  int failures = 0, attempts = 0;
+};
+// Another proxy has sent a request with this key there.
+struct PeerKey {
+  ServerId server = 0;
+  std::uint64_t key = 0;
+  TimePoint met{};
+};
+// This proxy's share of what all may have in flight at one server; 0: no limit.
+struct ServerShare {
+  int most_in_flight = 0;
+};
 using Event = std::variant<ListUpdate, Submit, StreamStarted, AttemptEnded, ClientGone, TimerFired, Detach,
-                           Attach, Sharing, NewSettings, Uploaded>;
+                           Attach, Sharing, NewSettings, Uploaded, PeerVerdict, PeerKey, ServerShare>;
+
+// No verdict of this module reaches further: the longest ejection, and the spread of return times.
+inline constexpr Duration kLongestEjection{20000};
 
 // ---- actions ------------------------------------------------------------------------------------------
 struct Dispatch {
@@ -168,7 +187,13 @@
 struct Log {
   std::string text;
 };
-using Action = std::variant<Dispatch, Refuse, Fail, SetTimer, Subscribe, CloseIdle, Log>;
+// On its own answers this proxy has taken the server out until then: for its peers to know.
+struct Ejected {
+  ServerId server = 0;
+  TimePoint until{};
+  int failures = 0, attempts = 0;
+};
+using Action = std::variant<Dispatch, Refuse, Fail, SetTimer, Subscribe, CloseIdle, Log, Ejected>;
 
 class Balancer {
  public:
--- a/src/adapter/codec.cpp
+++ b/src/adapter/codec.cpp
@@ -35,6 +35,7 @@
   kWakeMe = 25,
   kDispatch = 27,
 };
+constexpr std::uint8_t kNothing = 0;  // the wire has no record of the action
 constexpr std::uint32_t kEntryBytes = 23;
 constexpr std::uint16_t kFlagHint = 1, kFlagRepeat = 2;
 
@@ -218,6 +219,7 @@
     Put(out, a.server);
     return kShutIdle;
   }
+  std::uint8_t operator()(const Ejected&) const { return kNothing; }  // instances have no way to talk
   std::uint8_t operator()(const Log& a) const {
     PutText(out, a.text);
     return kRecord;
@@ -277,7 +279,7 @@
 void ReplyWriter::Add(std::uint32_t instance, const Action& action) {
   std::string fields;
   const std::uint8_t code = std::visit(Encoder{fields}, action);
-  PutRecord(body_, code, instance, fields);
+  if (code != kNothing) PutRecord(body_, code, instance, fields);
 }
 
 void ReplyWriter::AddInternalError(std::uint32_t instance, std::string_view text) {
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -23,6 +23,7 @@
 constexpr Duration kInterval{2000};          // counts reset: long enough for the volume floor at 2 requests/s
 constexpr Duration kBaseEjectionTime{2000};  // first ejection: as long as one interval
 constexpr Duration kMaxEjectionTime{16000};  // a recovered server is tried again within this
+static_assert(kMaxEjectionTime * 1.25 <= kLongestEjection);
 constexpr int kRequestVolume = 3;  // a proxy sees few requests a server; 3 of 3 failing is no chance
 constexpr Duration kLongestInterval{10000};  // A50's own; where traffic is thin counts have to be kept longer
 constexpr double kByChance = 0.01;      // thin traffic: failures that come together less often are no chance
@@ -31,6 +32,7 @@
 constexpr int kMinimumHosts = 2;        // servers to compare with each other
 constexpr double kThreshold = 0.4;      // failure share; well over what noise and overlap produce
 constexpr double kMaxEjectionPercent = 50;  // the rest must be able to carry the load
+constexpr double kMaxAdvisedPercent = 25;   // on peers' word: what one that lies can take out
 constexpr double kEnforcingPercent = 100;   // every finding is enforced
 
 constexpr double kCrossingWeight = 10;  // mean requests of work that the whole crossing price is worth
@@ -120,15 +122,34 @@
     if (AtLeast(host.failures, host.attempts(), usual) > kCoincidence) return false;
     if (!(100.0 * fleet.ejected < kMaxEjectionPercent * fleet.hosts)) return false;
     if (!(100.0 * random.Unit() < kEnforcingPercent)) return false;
+    host.return_at = now + Eject(host, fleet) * (fleet.thin ? 0.75 + 0.5 * random.Unit() : 1);
+    return true;
+  }
+
+  // Exception, on a peer's word, where a fleet shares its verdicts: each proxy paid for the same lesson
+  // alone. The peer's sample must do for this rule; the server is out no longer than for this proxy's own
+  // backoff, and no longer than at the peer, so that all return together.
+  static bool Advise(Host& host, const PeerVerdict& peer, int advised, TimePoint now, Fleet& fleet) {
+    const int volume = fleet.thin ? kMinimumHosts : kRequestVolume;
+    if (host.ejected || peer.until <= now || peer.attempts < volume) return false;
+    if (!(peer.failures > kThreshold * peer.attempts)) return false;
+    if (!(100.0 * advised < kMaxAdvisedPercent * fleet.hosts)) return false;
+    if (!(100.0 * fleet.ejected < kMaxEjectionPercent * fleet.hosts)) return false;
+    host.return_at = std::min(peer.until, now + Eject(host, fleet));
+    host.advised = true;
+    return true;
+  }
+
+  // For how long, by the backoff.
+  static Duration Eject(Host& host, Fleet& fleet) {
     ++host.multiplier;
     host.ejected = true;
+    host.advised = false;
     ++fleet.ejected;
     fleet.failures -= host.failures;
     fleet.attempts -= host.attempts();
     const Duration base = fleet.interval * (kBaseEjectionTime / kInterval);
-    host.return_at = now + std::min(base * host.multiplier, std::max(base, kMaxEjectionTime)) *
-                               (fleet.thin ? 0.75 + 0.5 * random.Unit() : 1);
-    return true;
+    return std::min(base * host.multiplier, std::max(base, kMaxEjectionTime));
   }
 
   // The share that fails at any server, going by this interval elsewhere and the one before.
@@ -232,6 +253,7 @@
       Server& s = servers_[index];
       if (!Usable(s) || (permission.group_of && !InGroup(r, *permission.group_of, s))) continue;
       *in_service |= !s.health.ejected;
+      if (share_ > 0 && s.own_count >= share_) continue;  // the fleet's limit of the server
       if (!FitsColdBudget(s, r.work)) {
         if (MayLog(kCold))
           LogLine("server " + std::to_string(s.entry.server) + " held back: cold, at " +
@@ -526,6 +548,35 @@
       LogLine("server " + std::to_string(s.entry.server) + " ejected: " + std::to_string(s.health.failures) +
               " of " + std::to_string(s.health.attempts()) + " attempts failed");
     }
+    out_->push_back(Ejected{s.entry.server, s.health.return_at, s.health.failures, s.health.attempts()});
+  }
+
+  void On(const PeerVerdict& e) {
+    const auto found = index_.find(e.server);
+    if (found == index_.end() || !Usable(servers_[found->second])) return;
+    Server& s = servers_[found->second];
+    const auto advised = std::count_if(servers_.begin(), servers_.end(), [this](const Server& other) {
+      return Usable(other) && other.health.ejected && other.health.advised;
+    });
+    const bool followed = OutlierDetector::Advise(s.health, e, static_cast<int>(advised), now_, fleet_);
+    LogLine("server " + std::to_string(s.entry.server) + (followed ? "" : " not") +
+            " ejected on a peer's word: " + std::to_string(e.failures) + " of " + std::to_string(e.attempts) +
+            " attempts failed there");
+    if (!followed) return;
+    next_return_ = std::min(next_return_, s.health.return_at);
+    FleetChanged();
+  }
+
+  void On(const PeerKey& e) {
+    const auto found = index_.find(e.server);
+    if (!settings_.warm_keys || found == index_.end()) return;
+    if (!key_memory_.Warm(e.key, found->second, now_))
+      key_memory_.Met(e.key, found->second, std::min(now_, e.met));
+  }
+
+  void On(const ServerShare& e) {
+    share_ = e.most_in_flight;
+    room_ = true;
   }
 
   // What is not confirmed is forgotten.
@@ -988,6 +1039,7 @@
   std::unordered_map<ServerId, ServerIndex> index_;
   std::set<ServerId> detached_;  // by the operators
   int processes_ = 1;            // that are this one proxy
+  int share_ = 0;                // in flight at one server at the most; 0: no limit
   OutlierDetector::Fleet fleet_;
   double warm_rate_ = 0;
   double listed_ = 0, in_service_ = 0;  // servers ready and of these not ejected; a cold one as its share
--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "membership.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -165,14 +167,17 @@
 }
 
 // With one that is present, for what got lost on the way; with one that is not, so that a cut that healed is
-// seen; and with a seed, for members that both sides have forgotten.
+// seen; and with a seed that is not known, as when both sides have forgotten each other.
 void Membership::Sync(Time now) {
   next_sync_ = now + options_.sync_interval;
   for (const bool present : {true, false})
-    for (const Member* member : Some(1, present, "")) SendTable(member->last.address, true);
+    for (const Member* member : Some(1, present, "")) Ask(member->last.address);
   if (options_.seeds.empty()) return;
   const auto& seed = options_.seeds[random_() % options_.seeds.size()];
-  if (seed != options_.address) SendTable(seed, true);
+  const bool known = std::any_of(others_.begin(), others_.end(), [&seed](const auto& other) {
+    return Present(other.second.last.state) && other.second.last.address == seed;
+  });
+  if (!known && seed != options_.address) Ask(seed);
 }
 
 void Membership::Forget(Time now) {
@@ -184,7 +189,7 @@
 void Membership::Join() {
   std::size_t asked = 0;
   for (const auto& seed : options_.seeds)
-    if (seed != options_.address && ++asked <= kMostSeedsAsked) SendTable(seed, true);
+    if (seed != options_.address && ++asked <= kMostSeedsAsked) Ask(seed);
 }
 
 void Membership::Leave(Time now) {
@@ -242,6 +247,8 @@
       return;
     case Kind::kSync:
       return OnSync(now, message);
+    case Kind::kState:
+      return;
   }
 }
 
@@ -272,7 +279,9 @@
 }
 
 void Membership::OnSync(Time, const Message& message) {
-  if (message.reply) SendTable(message.sender.address, false);
+  if (!message.reply) return;
+  if (!message.updates.empty()) return SendTable(message.sender.address, false);
+  if (message.table != TableDigest()) SendTable(message.sender.address, true);
 }
 
 // The higher incarnation, and of equal ones the graver claim; what is dead or has left is taken back by a
@@ -407,6 +416,12 @@
   return some;
 }
 
+std::vector<Udp::endpoint> Membership::Sample(std::size_t most) {
+  std::vector<Udp::endpoint> addresses;
+  for (const Member* member : Some(most, true, "")) addresses.push_back(member->last.address);
+  return addresses;
+}
+
 Message Membership::Make(Kind kind, std::uint64_t sequence) const {
   Message message;
   message.kind = kind;
@@ -449,6 +464,27 @@
   outlet_.Send(to, message);
 }
 
+// Whether its table is another one: only then it is sent.
+void Membership::Ask(const Udp::endpoint& to) {
+  Message message = Make(Kind::kSync, 0);
+  message.reply = true;
+  message.table = TableDigest();
+  outlet_.Send(to, message);
+}
+
+// Of those that are present, this one among them: of others that are gone a joiner need not know.
+std::uint64_t Membership::TableDigest() const {
+  std::uint64_t digest = 0;
+  const auto add = [&digest](const Update& update) {
+    // A sum: the same in whatever order.
+    digest += XXH64(update.name.data(), update.name.size(), update.incarnation);
+  };
+  add(self_.last);
+  for (const auto& [name, member] : others_)
+    if (Present(member.last.state)) add(member.last);
+  return digest;
+}
+
 // The whole table, in as many messages as it takes; the first one alone asks for the other's.
 void Membership::SendTable(const Udp::endpoint& to, bool reply) {
   Message message = Make(Kind::kSync, 0);
--- a/src/fleet/membership.h
+++ b/src/fleet/membership.h
@@ -91,6 +91,9 @@
   // Alive or suspect, this member included unless it has left.
   std::size_t present() const;
   int health() const { return health_; }
+  const MembershipOptions& options() const { return options_; }
+  // Up to `most` other members that are present, at random.
+  std::vector<Udp::endpoint> Sample(std::size_t most);
 
  private:
   struct Probe {
@@ -149,7 +152,9 @@
   void Ping(const Member& member, std::uint64_t sequence);
   // Adds what the receiver must hear of itself, and news as far as there is room.
   void SendWithNews(const Udp::endpoint& to, const std::string& receiver, Message message);
+  void Ask(const Udp::endpoint& to);
   void SendTable(const Udp::endpoint& to, bool reply);
+  std::uint64_t TableDigest() const;
   void Spread(const Update& update);
   void Worsen(int by);
   Span Scaled(Span span) const { return span * (health_ + 1); }
--- a/src/fleet/message.cpp
+++ b/src/fleet/message.cpp
@@ -13,11 +13,11 @@
 
 constexpr std::array<std::string_view, 4> kStates{"alive", "suspect", "dead", "left"};
 constexpr std::array<std::string_view, kDrops> kDropNames{"malformed", "oversized", "foreign", "version"};
-constexpr int kKinds = 5;
+constexpr int kKinds = 6;
 // Bytes of MessagePack beside the texts: of an update (its array, three texts, the state, the incarnation),
-// and of the rest of a message (a map of nine one-letter keys with their values).
+// and of the rest of a message (a map of twelve one-letter keys with their values).
 constexpr std::size_t kUpdateBytes = 1 + 3 * 2 + 1 + 9;
-constexpr std::size_t kMessageBytes = 1 + 9 * 2 + 3 * 1 + 9 + 3 * 2 + 3;
+constexpr std::size_t kMessageBytes = 1 + 12 * 2 + 3 * 1 + 3 * 9 + 3 * 2 + 3;
 
 json Pack(const Update& update) {
   json packed =
@@ -75,6 +75,9 @@
   const bool probes = message.kind == Message::Kind::kPing || message.kind == Message::Kind::kPingReq;
   if (probes && message.target.empty()) throw std::invalid_argument("target");
   if (root.contains("r")) message.reply = root.at("r").get<bool>();
+  if (root.contains("d")) message.state = root.at("d");
+  if (root.contains("w")) message.table = FigureIn(root.at("w"));
+  if (root.contains("h")) message.digest = FigureIn(root.at("h"));
   for (const json& update : root.at("u")) message.updates.push_back(UpdateIn(update));
   return message;
 }
@@ -99,6 +102,9 @@
     root["a"] = Text(message.target_address);
   }
   if (message.reply) root["r"] = true;
+  if (!message.state.is_null()) root["d"] = message.state;
+  if (message.table != 0) root["w"] = message.table;
+  if (message.digest != 0) root["h"] = message.digest;
   root["u"] = json::array();
   for (const Update& update : message.updates) root["u"].push_back(Pack(update));
   return json::to_msgpack(root);
--- a/src/fleet/message.h
+++ b/src/fleet/message.h
@@ -36,15 +36,18 @@
 };
 
 struct Message {
-  // SWIM's ping, ping-req and ack, Lifeguard's nack, and the exchange of whole tables.
-  enum class Kind { kPing, kPingReq, kAck, kNack, kSync };
+  // SWIM's ping, ping-req and ack, Lifeguard's nack, the exchange of whole tables, and shared state alone.
+  enum class Kind { kPing, kPingReq, kAck, kNack, kSync, kState };
   Kind kind = Kind::kPing;
   Update sender;               // as it sees itself: alive, or left
   std::uint64_t sequence = 0;  // of the probe that this belongs to
   std::string target;          // who is pinged, or is to be
   Udp::endpoint target_address;
-  bool reply = false;  // of kSync: the receiver is to send its table, too
+  bool reply = false;  // of kSync: the receiver is to send its table, too, if it differs
   std::vector<Update> updates;
+  nlohmann::json state;  // SharedState's entries; null: none
+  // Of kSync: digests of who is present, and of the shared state, as the sender holds them.
+  std::uint64_t table = 0, digest = 0;
 };
 
 // Why a datagram was dropped.
--- a/src/fleet/node.cpp
+++ b/src/fleet/node.cpp
@@ -1,11 +1,14 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "node.h"
 
+#include <spdlog/fmt/fmt.h>
+
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <cmath>
 #include <cstdio>
 
+#include "brackenspoke/balancer.h"
 #include "log.h"
 
 namespace brackenspoke::fleet {
@@ -17,6 +20,8 @@
 using Steady = std::chrono::steady_clock;
 
 constexpr std::chrono::seconds kBetweenReports{10};  // of what was dropped
+constexpr int kMostRefusalLines = 20;                // in that time
+constexpr std::size_t kPushFanout = 3;               // members told at once of a new verdict
 
 std::uint64_t UnixMilliseconds() {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -40,9 +45,21 @@
   return options;
 }
 
+StateOptions StateOptionsOf(const proxy::FleetSection& section, const std::string& name) {
+  StateOptions options;
+  options.name = name;
+  options.verdicts = section.share_verdicts;
+  options.affinity_entries = static_cast<std::size_t>(section.affinity_entries);
+  options.affinity_ttl = static_cast<UnixMs>(section.affinity_ttl.count());
+  options.most_skew = static_cast<UnixMs>(section.most_skew.count());
+  options.longest_ejection = static_cast<UnixMs>(kLongestEjection.count());
+  options.way = static_cast<UnixMs>(2 * section.probe_interval.count());
+  return options;
+}
+
 double Seconds(Span span) { return std::chrono::duration<double>(span).count(); }
 
-std::string Entry(const Member& member, Time now) {
+std::string LineOf(const Member& member, Time now) {
   char age[32];
   std::snprintf(age, sizeof age, "%.1fs", Seconds(now - member.since));
   return member.last.name + " " + std::string(Name(member.last.state)) + " " +
@@ -60,11 +77,14 @@
 }  // namespace
 
 Node::Node(asio::io_context& io, const proxy::FleetSection& section, const std::string& name,
-           std::uint64_t seed)
+           std::uint64_t seed, Facts& facts)
     : section_(section),
       socket_(io),
       timer_(io),
       again_(io),
+      settle_(io),
+      facts_(facts),
+      state_(StateOptionsOf(section, name), *this),
       allowance_(section.most_bytes_per_second),
       allowed_at_(Steady::now()),
       name_(name),
@@ -84,6 +104,7 @@
                         static_cast<Membership::Outlet&>(*this));
     if (away_) membership_->Leave(Steady::now());
     Receive();
+    Settle();
     return Arm();
   }
   if (!std::exchange(waits_, true))
@@ -109,10 +130,125 @@
   counts_.bytes_received += size;
   const auto decoded = Decode(section_.name, std::span(in_).first(size));
   if (const Drop* drop = std::get_if<Drop>(&decoded)) return Count(*drop);
-  membership_->Receive(Steady::now(), std::get<Message>(decoded));
+  const Message& message = std::get<Message>(decoded);
+  membership_->Receive(Steady::now(), message);
+  ReceiveState(message);
   Arm();
 }
 
+void Node::ReceiveState(const Message& message) {
+  if (stopped_ || !membership_ || message.sender.name == name_) return;
+  if (!message.state.is_null() && state_.Receive(UnixMilliseconds(), message.state)) PushState();
+  if (message.kind == Message::Kind::kSync && message.digest != state_.Digest(UnixMilliseconds()))
+    SendState(message.sender.address);
+}
+
+// A new verdict goes to a few members at once; each passes it on when it is new there, too.
+void Node::PushState() {
+  Message message;
+  message.kind = Message::Kind::kState;
+  message.sender = membership_->self().last;
+  for (const Udp::endpoint& to : membership_->Sample(kPushFanout)) Send(to, message);
+}
+
+// All that is held, in as many messages as it takes.
+void Node::SendState(const Udp::endpoint& to) {
+  Message message;
+  message.kind = Message::Kind::kState;
+  message.sender = membership_->self().last;
+  for (auto& piece : state_.All(UnixMilliseconds(), RoomFor(section_.name, message))) {
+    message.state = std::move(piece);
+    Send(to, message);
+  }
+}
+
+// Entries as far as there is room, and of a table the digest of them all.
+void Node::AddState(Message* message) {
+  if (message->kind == Message::Kind::kSync) {
+    message->digest = state_.Digest(UnixMilliseconds());
+    return;
+  }
+  if (!message->state.is_null()) return;
+  std::size_t room = RoomFor(section_.name, *message);
+  for (const Update& update : message->updates) room -= std::min(room, SizeOf(update));
+  auto entries =
+      state_.Fill(UnixMilliseconds(), room, MostTransmits(membership_->options(), membership_->present()));
+  if (!entries.empty()) message->state = std::move(entries);
+}
+
+void Node::Tell(Verdict verdict) {
+  state_.Write(UnixMilliseconds(), std::move(verdict));
+  if (membership_ && !stopped_) PushState();
+}
+
+void Node::Tell(KeySite site) { state_.Write(UnixMilliseconds(), std::move(site)); }
+
+bool Node::Listed(const std::string& server) const { return facts_.Listed(server); }
+
+void Node::Taken(const Entry& entry) {
+  if (const auto* site = std::get_if<KeySite>(&entry.fact))
+    return facts_.OnKey(*site, MillisecondsOf(entry.version.stamp));
+  const Verdict& verdict = std::get<Verdict>(entry.fact);
+  const UnixMs now = UnixMilliseconds();
+  log::Info("fleet",
+            fmt::format("verdict server={} from={} failures={} attempts={} left_ms={} age_ms={} taken",
+                        verdict.server, entry.version.origin, verdict.failures, verdict.attempts,
+                        verdict.until - now, now - std::min(now, MillisecondsOf(entry.version.stamp))));
+  facts_.OnVerdict(verdict);
+}
+
+// At most so many lines in a time: a member that lies must not fill the log.
+bool Node::MayLogRefusal() {
+  const Time now = Steady::now();
+  if (now - refusals_from_ >= kBetweenReports) {
+    refusals_from_ = now;
+    refusals_ = 0;
+  }
+  return ++refusals_ <= kMostRefusalLines;
+}
+
+void Node::Refused(const std::string& about, const std::string& origin, Refusal why) {
+  if (MayLogRefusal())
+    log::Warn("fleet", "state server=" + (about.empty() ? "-" : about) +
+                           " from=" + (origin.empty() ? "-" : origin) + " refused=" + std::string(Name(why)));
+}
+
+// Until news of this process have gone round, the others hold on to its share.
+void Node::Settle() {
+  settled_ = false;
+  UpdateShare();
+  const auto began = Steady::now();
+  settle_.expires_after(section_.probe_interval * MostTransmits(membership_->options(), 9));
+  settle_.async_wait([this, began](const Error& cancelled) {
+    if (cancelled || stopped_) return;
+    const auto needed =
+        section_.probe_interval * MostTransmits(membership_->options(), membership_->present());
+    if (Steady::now() - began < needed) return Settle();
+    settled_ = true;
+    UpdateShare();
+  });
+}
+
+// The members that hold a share: those that are present and, unless the present ones are most of all known,
+// those that are dead, too, since they may be the other side of a partition that goes on.
+int Node::Share() const {
+  std::size_t dead = 0;
+  for (const auto& [name, member] : membership_->others()) dead += member.last.state == MemberState::kDead;
+  const std::size_t present = std::max<std::size_t>(1, membership_->present());
+  std::size_t holders = 2 * present > present + dead ? present : present + dead;
+  if (present == 1) holders = std::max(holders, section_.seeds.size());
+  return settled_ ? std::max(1, section_.server_limit / static_cast<int>(holders)) : 1;
+}
+
+void Node::UpdateShare() {
+  if (section_.server_limit == 0 || !membership_) return;
+  const int share = Share();
+  if (share == std::exchange(share_, share)) return;
+  log::Info("fleet", "limit=" + std::to_string(section_.server_limit) + " share=" + std::to_string(share) +
+                         " present=" + std::to_string(membership_->present()));
+  facts_.OnShare(share);
+}
+
 void Node::Count(Drop drop) {
   ++counts_.dropped[static_cast<std::size_t>(drop)];
   ReportDrops();
@@ -152,7 +288,9 @@
 
 void Node::Send(const Udp::endpoint& to, const Message& message) {
   if (!socket_.is_open()) return;
-  const auto bytes = Encode(section_.name, message);
+  Message whole = message;
+  AddState(&whole);
+  const auto bytes = Encode(section_.name, whole);
   if (!MaySend(bytes.size())) {
     ++counts_.throttled;
     return ReportDrops();
@@ -170,14 +308,19 @@
                      " incarnation=" + std::to_string(last.incarnation) + " address=" + Text(last.address) +
                      " by=" + std::string(why);
   log::Info("fleet", line);
+  UpdateShare();
 }
 
 void Node::Stalled(Span late) {
   log::Warn("fleet", "stalled for " + std::to_string(std::lround(Seconds(late) * 1000)) + " ms");
+  Settle();  // the others may have taken this one's share meanwhile
 }
 
 void Node::Displaced(const Udp::endpoint& by) {
   log::Error("fleet", "displaced by=" + Text(by) + ": another process has this name at a newer incarnation");
+  settle_.cancel();
+  settled_ = false;
+  UpdateShare();
 }
 
 void Node::Leave() {
@@ -200,15 +343,28 @@
   stopped_ = true;
   again_.cancel();
   timer_.cancel();
+  settle_.cancel();
   Error ignored;
   socket_.close(ignored);
 }
 
+std::string Node::DescribeState() {
+  const auto all = state_.Summarize(UnixMilliseconds());
+  std::string line = fmt::format(
+      "verdicts={} newest_ms={} oldest_ms={}, affinity={} newest_ms={} oldest_ms={}, limit={} share={}; "
+      "refused",
+      all.verdicts, all.newest_verdict, all.oldest_verdict, all.sites, all.newest_site, all.oldest_site,
+      section_.server_limit, std::max(0, share_));
+  for (int i = 0; i < kRefusals; ++i)
+    line += fmt::format(" {}={}", Name(static_cast<Refusal>(i)), all.refused[static_cast<std::size_t>(i)]);
+  return line;
+}
+
 std::string Node::Describe() const {
   if (!membership_) return name_ + " waits for its address";
   const Time now = Steady::now();
-  std::string line = Entry(membership_->self(), now);
-  for (const auto& [name, member] : membership_->others()) line += ", " + Entry(member, now);
+  std::string line = LineOf(membership_->self(), now);
+  for (const auto& [name, member] : membership_->others()) line += ", " + LineOf(member, now);
   line += "; health=" + std::to_string(membership_->health()) + " sent=" + std::to_string(counts_.sent) +
           " bytes_sent=" + std::to_string(counts_.bytes_sent) +
           " received=" + std::to_string(counts_.received) + " " + DropsLine(counts_);
--- a/src/fleet/node.h
+++ b/src/fleet/node.h
@@ -16,6 +16,7 @@
 
 #include "membership.h"
 #include "schema.h"
+#include "state.h"
 
 namespace brackenspoke::fleet {
 
@@ -26,18 +27,38 @@
   std::uint64_t throttled = 0;                       // not sent, for the sake of most_bytes_per_second
 };
 
-class Node : private Membership::Outlet {
+// What the fleet tells the proxy that this process is.
+class Facts {
+ public:
+  virtual ~Facts() = default;
+  // Whether discovery's list has the server now.
+  virtual bool Listed(const std::string& server) const = 0;
+  virtual void OnVerdict(const Verdict& verdict) = 0;
+  virtual void OnKey(const KeySite& site, UnixMs met) = 0;
+  // Of the fleet's limit of requests in flight at one server, what is this process's.
+  virtual void OnShare(int most_in_flight) = 0;
+};
+
+class Node : private Membership::Outlet, private SharedState::Host {
  public:
   // Joins at once, or, while another process holds the address (one that this one replaces), as soon as that
-  // one leaves it. `name` is the member's, `seed` for random numbers.
+  // one leaves it. `name` is the member's, `seed` for random numbers. `facts` outlives this and is called
+  // from the event loop only, never from within the constructor.
   Node(boost::asio::io_context& io, const proxy::FleetSection& section, const std::string& name,
-       std::uint64_t seed);
+       std::uint64_t seed, Facts& facts);
 
   void Leave();
   void Rejoin();
   // Leaves, and leaves the address to another process.
   void Stop();
 
+  // What this process has found, for its peers.
+  void Tell(Verdict verdict);
+  void Tell(KeySite site);
+
+  // One line: of each kind of shared state how much is held, its newest and oldest age, the share of the
+  // limit, and what was refused.
+  std::string DescribeState();
   // One line: every member as "name state incarnation age", this one first, and the counts.
   std::string Describe() const;
   const Counts& counts() const { return counts_; }
@@ -48,17 +69,31 @@
   void Stalled(Span late) override;
   void Displaced(const Udp::endpoint& by) override;
 
+  bool Listed(const std::string& server) const override;
+  void Taken(const Entry& entry) override;
+  void Refused(const std::string& about, const std::string& origin, Refusal why) override;
+
   void Open();
   void Receive();
   void OnDatagram(std::size_t size);
   void Count(Drop drop);
   void ReportDrops();
+  void ReceiveState(const Message& message);
+  void SendState(const Udp::endpoint& to);
+  void PushState();
+  void AddState(Message* message);
+  bool MayLogRefusal();
+  void Settle();
+  void UpdateShare();
+  int Share() const;
   void Arm();
   bool MaySend(std::size_t size);
 
   const proxy::FleetSection section_;
   Udp::socket socket_;
-  boost::asio::steady_timer timer_, again_;
+  boost::asio::steady_timer timer_, again_, settle_;
+  Facts& facts_;
+  SharedState state_;
   std::array<std::uint8_t, kMostDatagram + 1> in_{};
   Udp::endpoint from_;
   Counts counts_, reported_;
@@ -71,6 +106,10 @@
   bool away_ = false;                     // told to leave while the address was not to be had
   std::optional<Membership> membership_;  // once the address is had
   Time armed_{};
+  bool settled_ = false;  // every member may be taken to know of this one
+  int share_ = -1;        // as last told
+  Time refusals_from_{};  // of the count that follows
+  int refusals_ = 0;
 };
 
 }  // namespace brackenspoke::fleet
--- /dev/null
+++ b/src/fleet/state.cpp
@@ -0,0 +1,259 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "state.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace brackenspoke::fleet {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::array<std::string_view, kRefusals> kRefusalNames{"older", "off",    "malformed",  "unlisted",
+                                                                "stale", "future", "implausible"};
+constexpr std::size_t kMostId = 128;  // bytes of a server's id or of an origin
+constexpr std::size_t kArrayBytes = 3;
+constexpr char kVerdict[] = "v", kSite[] = "k";
+
+const std::string& ServerOf(const Entry& entry) {
+  if (const auto* verdict = std::get_if<Verdict>(&entry.fact)) return verdict->server;
+  return std::get<KeySite>(entry.fact).server;
+}
+
+json Pack(const Entry& entry) {
+  const Version& version = entry.version;
+  if (const auto* verdict = std::get_if<Verdict>(&entry.fact))
+    return json::array({kVerdict, verdict->server, version.stamp, version.origin, verdict->until,
+                        static_cast<unsigned>(verdict->failures), static_cast<unsigned>(verdict->attempts)});
+  const KeySite& site = std::get<KeySite>(entry.fact);
+  return json::array({kSite, site.server, version.stamp, version.origin, site.key});
+}
+
+std::size_t PackedSize(const json& packed) { return json::to_msgpack(packed).size(); }
+
+std::string Id(const json& value) {
+  auto id = value.get<std::string>();
+  if (id.empty() || id.size() > kMostId) throw std::invalid_argument("id");
+  return id;
+}
+
+std::uint64_t Figure(const json& value) {
+  if (!value.is_number_unsigned()) throw std::invalid_argument("figure");
+  return value.get<std::uint64_t>();
+}
+
+int Count(const json& value) {
+  const std::uint64_t figure = Figure(value);
+  if (figure > 1000000) throw std::invalid_argument("count");
+  return static_cast<int>(figure);
+}
+
+// Throws json::exception or std::invalid_argument on anything out of form.
+Entry Unpack(const json& packed) {
+  Entry entry;
+  const auto kind = packed.at(0).get<std::string>();
+  const std::string server = Id(packed.at(1));
+  entry.version = {Figure(packed.at(2)), Id(packed.at(3))};
+  if (kind == kVerdict)
+    entry.fact = Verdict{server, Figure(packed.at(4)), Count(packed.at(5)), Count(packed.at(6))};
+  else if (kind == kSite)
+    entry.fact = KeySite{Figure(packed.at(4)), server};
+  else
+    throw std::invalid_argument("kind");
+  return entry;
+}
+
+}  // namespace
+
+std::string_view Name(Refusal refusal) { return kRefusalNames.at(static_cast<std::size_t>(refusal)); }
+
+SharedState::Key SharedState::KeyOf(const Entry& entry) {
+  if (const auto* verdict = std::get_if<Verdict>(&entry.fact)) return verdict->server;
+  return std::get<KeySite>(entry.fact).key;
+}
+
+// The staleness bound of each kind.
+UnixMs SharedState::ExpiresAt(const Entry& entry) const {
+  const UnixMs written = MillisecondsOf(entry.version.stamp);
+  if (const auto* verdict = std::get_if<Verdict>(&entry.fact))
+    return std::min(verdict->until, written + options_.longest_ejection + options_.way);
+  return written + options_.affinity_ttl;
+}
+
+void SharedState::Expire(UnixMs now) {
+  while (!by_expiry_.empty() && by_expiry_.begin()->first <= now) Drop(Key(by_expiry_.begin()->second));
+}
+
+void SharedState::Drop(const Key& key) {
+  const auto found = held_.find(key);
+  if (found == held_.end()) return;
+  sites_ -= std::holds_alternative<KeySite>(found->second.entry.fact);
+  by_expiry_.erase({ExpiresAt(found->second.entry), key});
+  to_pass_on_.erase({found->second.transmits, key});
+  held_.erase(found);
+}
+
+void SharedState::Put(Entry entry) {
+  const Key key = KeyOf(entry);
+  Drop(key);
+  if (std::holds_alternative<KeySite>(entry.fact)) {
+    // The one that is nearest to its end makes room.
+    if (sites_ >= options_.affinity_entries) {
+      const auto oldest = std::find_if(by_expiry_.begin(), by_expiry_.end(), [](const auto& each) {
+        return std::holds_alternative<std::uint64_t>(each.second);
+      });
+      Drop(Key(oldest->second));
+    }
+    ++sites_;
+  }
+  by_expiry_.emplace(ExpiresAt(entry), key);
+  to_pass_on_.emplace(0, key);
+  held_[key] = {std::move(entry), 0};
+}
+
+void SharedState::Write(UnixMs now, Verdict verdict) {
+  if (!options_.verdicts) return;
+  Expire(now);
+  Put({std::move(verdict), {clock_.Now(now), options_.name}});
+}
+
+void SharedState::Write(UnixMs now, KeySite site) {
+  if (options_.affinity_entries == 0) return;
+  Expire(now);
+  Put({std::move(site), {clock_.Now(now), options_.name}});
+}
+
+std::optional<Refusal> SharedState::JudgeVerdict(const Verdict& verdict, Stamp stamp) const {
+  if (verdict.failures > verdict.attempts || verdict.failures == 0 ||
+      verdict.until > MillisecondsOf(stamp) + options_.longest_ejection)
+    return Refusal::kImplausible;
+  return std::nullopt;
+}
+
+std::optional<Refusal> SharedState::Judge(UnixMs now, const Entry& entry) const {
+  const auto* verdict = std::get_if<Verdict>(&entry.fact);
+  if (!(verdict ? options_.verdicts : options_.affinity_entries > 0)) return Refusal::kOff;
+  if (MillisecondsOf(entry.version.stamp) > now + options_.most_skew) return Refusal::kFuture;
+  if (ExpiresAt(entry) <= now) return Refusal::kStale;
+  if (!host_.Listed(ServerOf(entry))) return Refusal::kUnlisted;
+  if (verdict) {
+    if (const auto why = JudgeVerdict(*verdict, entry.version.stamp)) return why;
+  }
+  const auto held = held_.find(KeyOf(entry));
+  if (held != held_.end() && entry.version <= held->second.entry.version) return Refusal::kOlder;
+  return std::nullopt;
+}
+
+void SharedState::Refuse(const std::string& about, const std::string& origin, Refusal why) {
+  ++refused_[static_cast<std::size_t>(why)];
+  if (why > Refusal::kOff) host_.Refused(about, origin, why);
+}
+
+bool SharedState::Receive(UnixMs now, const json& entries) {
+  Expire(now);
+  bool new_verdict = false;
+  if (!entries.is_array()) {
+    Refuse("", "", Refusal::kMalformed);
+    return false;
+  }
+  for (const json& packed : entries) {
+    Entry entry;
+    try {
+      entry = Unpack(packed);
+    } catch (const json::exception&) {
+      Refuse("", "", Refusal::kMalformed);
+      continue;
+    } catch (const std::invalid_argument&) {
+      Refuse("", "", Refusal::kMalformed);
+      continue;
+    }
+    if (const auto why = Judge(now, entry)) {
+      Refuse(ServerOf(entry), entry.version.origin, *why);
+      continue;
+    }
+    clock_.See(entry.version.stamp);
+    new_verdict |= std::holds_alternative<Verdict>(entry.fact);
+    Put(entry);
+    host_.Taken(entry);
+  }
+  return new_verdict;
+}
+
+json SharedState::Fill(UnixMs now, std::size_t room, int most_transmits) {
+  Expire(now);
+  json packed = json::array();
+  if (room < kArrayBytes) return packed;
+  room -= kArrayBytes;
+  std::vector<Key> taken;
+  for (const auto& [transmits, key] : to_pass_on_) {
+    json one = Pack(held_.at(key).entry);
+    const std::size_t size = PackedSize(one);
+    if (size > room) break;
+    room -= size;
+    packed.push_back(std::move(one));
+    taken.push_back(key);
+  }
+  for (const Key& key : taken) {
+    Held& held = held_.at(key);
+    to_pass_on_.erase({held.transmits, key});
+    if (++held.transmits < most_transmits) to_pass_on_.emplace(held.transmits, key);
+  }
+  return packed;
+}
+
+std::vector<json> SharedState::All(UnixMs now, std::size_t room) {
+  Expire(now);
+  std::vector<json> pieces;
+  std::size_t left = 0;
+  for (const auto& [key, held] : held_) {
+    json one = Pack(held.entry);
+    const std::size_t size = PackedSize(one);
+    if (size > left) {
+      pieces.push_back(json::array());
+      left = room - std::min(room, kArrayBytes);
+    }
+    left -= std::min(left, size);
+    pieces.back().push_back(std::move(one));
+  }
+  return pieces;
+}
+
+std::uint64_t SharedState::Digest(UnixMs now) {
+  Expire(now);
+  std::uint64_t digest = 0;
+  for (const auto& [key, held] : held_) {
+    const Version& version = held.entry.version;
+    digest = XXH64(version.origin.data(), version.origin.size(), digest);
+    digest = XXH64(&version.stamp, sizeof version.stamp, digest);
+  }
+  return digest;
+}
+
+SharedState::Summary SharedState::Summarize(UnixMs now) {
+  Expire(now);
+  Summary summary;
+  summary.refused = refused_;
+  for (const auto& [key, held] : held_) {
+    const UnixMs written = MillisecondsOf(held.entry.version.stamp), age = now > written ? now - written : 0;
+    const bool verdict = std::holds_alternative<Verdict>(held.entry.fact);
+    std::size_t& count = verdict ? summary.verdicts : summary.sites;
+    UnixMs& newest = verdict ? summary.newest_verdict : summary.newest_site;
+    UnixMs& oldest = verdict ? summary.oldest_verdict : summary.oldest_site;
+    newest = count == 0 ? age : std::min(newest, age);
+    oldest = std::max(oldest, age);
+    ++count;
+  }
+  return summary;
+}
+
+std::vector<Entry> SharedState::Verdicts(UnixMs now) {
+  Expire(now);
+  std::vector<Entry> verdicts;
+  for (const auto& [key, held] : held_)
+    if (std::holds_alternative<Verdict>(held.entry.fact)) verdicts.push_back(held.entry);
+  return verdicts;
+}
+
+}  // namespace brackenspoke::fleet
--- /dev/null
+++ b/src/fleet/state.h
@@ -0,0 +1,135 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// What members tell each other of servers and keys: last-writer-wins registers, exchanged as deltas and,
+// where digests differ, whole (Almeida, Shoker, Baquero: "Delta state replicated data types", 2018). Owns no
+// socket and no clock; times are Unix milliseconds, since they are compared between machines. Bounds are in
+// docs/fleet.md.
+#ifndef BRACKENSPOKE_FLEET_STATE_H_
+#define BRACKENSPOKE_FLEET_STATE_H_
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "hybrid_clock.h"
+
+namespace brackenspoke::fleet {
+
+using UnixMs = std::uint64_t;
+
+// A member has taken a server out: on `failures` of `attempts`, until then.
+struct Verdict {
+  std::string server;  // discovery's id
+  UnixMs until = 0;
+  int failures = 0, attempts = 0;
+};
+
+// A request with this key went there.
+struct KeySite {
+  std::uint64_t key = 0;
+  std::string server;
+};
+
+// Who wrote an entry, and when. The later stamp wins; of equal ones the greater name.
+struct Version {
+  Stamp stamp = 0;
+  std::string origin;
+  auto operator<=>(const Version&) const = default;
+};
+
+struct Entry {
+  std::variant<Verdict, KeySite> fact;
+  Version version;
+};
+
+// Why an entry was not taken. kOlder, that what is held is as new or newer, and kOff, that this member does
+// not share the kind, are no faults.
+enum class Refusal { kOlder, kOff, kMalformed, kUnlisted, kStale, kFuture, kImplausible };
+inline constexpr int kRefusals = 7;
+std::string_view Name(Refusal refusal);
+
+struct StateOptions {
+  std::string name;                  // of this member
+  bool verdicts = true;              // whether they are shared
+  std::size_t affinity_entries = 0;  // at most; 0: none are shared
+  UnixMs affinity_ttl = 4000;
+  UnixMs most_skew = 500;       // that a stamp may be ahead of this member's wall clock
+  UnixMs longest_ejection = 0;  // from a verdict's stamp to its end
+  UnixMs way = 0;               // that a verdict may take beyond its end's distance
+};
+
+class SharedState {
+ public:
+  // What the entries are for. Called from within Receive.
+  class Host {
+   public:
+    virtual ~Host() = default;
+    virtual bool Listed(const std::string& server) const = 0;
+    // Another member's entry is taken, for the first time.
+    virtual void Taken(const Entry& entry) = 0;
+    // `about` is the server; empty if it cannot be read.
+    virtual void Refused(const std::string& about, const std::string& origin, Refusal why) = 0;
+  };
+
+  SharedState(StateOptions options, Host& host) : options_(std::move(options)), host_(host) {}
+
+  // This member's own.
+  void Write(UnixMs now, Verdict verdict);
+  void Write(UnixMs now, KeySite site);
+
+  // Entries from `from`, as Fill and All made them. True if a verdict among them was new.
+  bool Receive(UnixMs now, const nlohmann::json& entries);
+
+  // Entries that have been passed on fewer than `most_transmits` times, as far as they fit in `room` bytes.
+  nlohmann::json Fill(UnixMs now, std::size_t room, int most_transmits);
+  // Everything, in pieces of at most `room` bytes each.
+  std::vector<nlohmann::json> All(UnixMs now, std::size_t room);
+  // The same at members that hold the same (xxHash of the versions).
+  std::uint64_t Digest(UnixMs now);
+
+  struct Summary {
+    std::size_t verdicts = 0, sites = 0;
+    UnixMs newest_verdict = 0, oldest_verdict = 0, newest_site = 0, oldest_site = 0;  // ages, ms
+    std::array<std::uint64_t, kRefusals> refused{};
+  };
+  Summary Summarize(UnixMs now);
+  // Those that hold, of whatever member.
+  std::vector<Entry> Verdicts(UnixMs now);
+
+ private:
+  struct Held {
+    Entry entry;
+    int transmits = 0;
+  };
+  using Key = std::variant<std::string, std::uint64_t>;
+
+  static Key KeyOf(const Entry& entry);
+  UnixMs ExpiresAt(const Entry& entry) const;
+  void Expire(UnixMs now);
+  void Put(Entry entry);
+  void Drop(const Key& key);
+  // Nothing if the entry is to be taken.
+  std::optional<Refusal> Judge(UnixMs now, const Entry& entry) const;
+  std::optional<Refusal> JudgeVerdict(const Verdict& verdict, Stamp stamp) const;
+  void Refuse(const std::string& about, const std::string& origin, Refusal why);
+
+  const StateOptions options_;
+  Host& host_;
+  HybridClock clock_;
+  std::map<Key, Held> held_;
+  std::set<std::pair<UnixMs, Key>> by_expiry_;
+  std::set<std::pair<int, Key>> to_pass_on_;  // by how often each has been
+  std::size_t sites_ = 0;
+  std::array<std::uint64_t, kRefusals> refused_{};
+};
+
+}  // namespace brackenspoke::fleet
+
+#endif  // BRACKENSPOKE_FLEET_STATE_H_
--- a/src/measures.h
+++ b/src/measures.h
@@ -110,7 +110,7 @@
 // A50's counts of a server.
 struct Host {
   int successes = 0, failures = 0, multiplier = 0;
-  bool ejected = false;
+  bool ejected = false, advised = false;  // advised: on a peer's word
   TimePoint return_at{};
   int attempts() const { return successes + failures; }
 };
--- a/src/proxy/clock.h
+++ b/src/proxy/clock.h
@@ -25,6 +25,7 @@
     const Duration capped = std::min(at - kStart, kFarthest);
     return steady_origin_ + std::chrono::ceil<Steady::duration>(capped);
   }
+  double ToUnix(TimePoint at) const { return (at - kStart + unix_origin_).count(); }
   // 0, for long ago, stays 0; what would come out before the clock's origin is as long ago.
   TimePoint FromUnix(double unix_ms) const {
     if (!(unix_ms > 0)) return TimePoint{};
--- a/src/proxy/members.h
+++ b/src/proxy/members.h
@@ -56,6 +56,8 @@
   void Learn(std::vector<std::string> ids);
   ServerId Of(const std::string& id) const { return numbers_.at(id); }
   bool Has(const std::string& id) const { return numbers_.contains(id); }
+  // The id of a number that Of has given.
+  const std::string& IdOf(ServerId number) const { return taken_.at(number); }
 
  private:
   Hash hash_;
--- a/src/proxy/operators.cpp
+++ b/src/proxy/operators.cpp
@@ -31,10 +31,11 @@
 };
 constexpr Form kForms[] = {{"PING", Verb::kPing, false},     {"DETACH", Verb::kDetach, true},
                            {"ATTACH", Verb::kAttach, true},  {"LAMEDUCK", Verb::kLameduck, false},
-                           {"REJOIN", Verb::kRejoin, false}, {"MEMBERS", Verb::kMembers, false}};
+                           {"REJOIN", Verb::kRejoin, false}, {"MEMBERS", Verb::kMembers, false},
+                           {"STATE", Verb::kState, false}};
 
 // A call that only asks is not worth a line of the log.
-bool Asks(Verb verb) { return verb == Verb::kPing || verb == Verb::kMembers; }
+bool Asks(Verb verb) { return verb == Verb::kPing || verb == Verb::kMembers || verb == Verb::kState; }
 
 std::string_view NextWord(std::string_view* rest) {
   const auto from = std::min(rest->find_first_not_of(" \t"), rest->size());
--- a/src/proxy/operators.h
+++ b/src/proxy/operators.h
@@ -21,7 +21,7 @@
 namespace brackenspoke::proxy {
 
 struct OperatorCall {
-  enum class Verb { kPing, kDetach, kAttach, kLameduck, kRejoin, kMembers };
+  enum class Verb { kPing, kDetach, kAttach, kLameduck, kRejoin, kMembers, kState };
   Verb verb = Verb::kPing;
   std::string id;  // of a server; of kDetach and kAttach alone
 };
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -116,7 +116,7 @@
   if (config_->operators) operators_ = std::make_unique<Operators>(io, *config_->operators, *this);
   if (config_->fleet.on) {
     const std::uint64_t seed = config_->seed ^ StableHash(config_->name);
-    fleet_ = std::make_unique<fleet::Node>(io, config_->fleet, config_->name, seed);
+    fleet_ = std::make_unique<fleet::Node>(io, config_->fleet, config_->name, seed, *this);
   }
   overlap_.Watch([this] { OnLook(); });
 }
@@ -201,7 +201,8 @@
     case OperatorCall::Verb::kRejoin:
       return reply(Rejoin());
     case OperatorCall::Verb::kMembers:
-      return reply(fleet_ ? OperatorReply{true, fleet_->Describe()} : OperatorReply{false, "no fleet"});
+    case OperatorCall::Verb::kState:
+      return reply(AskFleet(call));
     case OperatorCall::Verb::kDetach:
     case OperatorCall::Verb::kAttach:
       return ChangeMaintenance(call, std::move(reply));
@@ -217,6 +218,33 @@
   return {true, "taking clients"};
 }
 
+OperatorReply Proxy::AskFleet(const OperatorCall& call) {
+  if (!fleet_) return {false, "no fleet"};
+  return {true, call.verb == OperatorCall::Verb::kMembers ? fleet_->Describe() : fleet_->DescribeState()};
+}
+
+// Advice: the module weighs it like any event.
+void Proxy::OnVerdict(const fleet::Verdict& verdict) {
+  Feed(PeerVerdict{numbers_.Of(verdict.server), clock_.FromUnix(static_cast<double>(verdict.until)),
+                   verdict.failures, verdict.attempts});
+}
+
+void Proxy::OnKey(const fleet::KeySite& site, fleet::UnixMs met) {
+  Feed(PeerKey{numbers_.Of(site.server), site.key, clock_.FromUnix(static_cast<double>(met))});
+}
+
+void Proxy::OnShare(int most_in_flight) { Feed(ServerShare{most_in_flight}); }
+
+void Proxy::Do(const Ejected& action) {
+  if (!fleet_) return;
+  fleet::Verdict verdict;
+  verdict.server = numbers_.IdOf(action.server);
+  verdict.until = static_cast<fleet::UnixMs>(clock_.ToUnix(action.until));
+  verdict.failures = action.failures;
+  verdict.attempts = action.attempts;
+  fleet_->Tell(std::move(verdict));
+}
+
 OperatorReply Proxy::Lameduck() {
   clients_->Drain();
   overlap_.SetTaking(false);
@@ -318,9 +346,14 @@
     for (const Member& m : list.members) named.insert(numbers_.Of(m.id));
     backends_->RetireOthers(named);
   }
+  if (kind != ListKind::kDelta) in_list_.clear();
   ListUpdate update;
   update.kind = kind;
   for (const Member& m : list.members) {
+    if (m.state == ServerState::kGone)
+      in_list_.erase(m.id);
+    else
+      in_list_.insert(m.id);
     ServerEntry entry;
     entry.server = numbers_.Of(m.id);
     entry.zone = ZoneOf(m.zone);
@@ -363,6 +396,7 @@
   Pending& pending = pending_[id];
   pending.message = std::make_shared<const HttpRequest>(std::move(request.message));
   pending.hold = std::move(request.hold);
+  pending.key = request.key;
   pending.body = std::move(request.body);
   pending.config = std::move(request.config);
   pending.due = request.due;
@@ -409,6 +443,7 @@
   events.done = [this, id = action.request, attempt, server = action.server](AttemptResult result) {
     OnAttemptDone(id, attempt, server, std::move(result));
   };
+  if (fleet_ && pending.key != 0) fleet_->Tell(fleet::KeySite{pending.key, numbers_.IdOf(action.server)});
   backends_->Send(action.server, std::move(out), timeout, std::move(events));
 }
 
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -14,6 +14,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "backends.h"
@@ -30,7 +31,7 @@
 
 namespace brackenspoke::proxy {
 
-class Proxy : public RequestHandler, public OperatorHandler {
+class Proxy : public RequestHandler, public OperatorHandler, public fleet::Facts {
  public:
   // Watches discovery from here on, and listens: at once, or beside another process of this proxy once the
   // list is fresh.
@@ -50,6 +51,10 @@
   bool Ready() const override;
   std::shared_ptr<const Config> InForce() const override { return config_; }
   void OnCall(const OperatorCall& call, OnReply reply) override;
+  bool Listed(const std::string& server) const override { return in_list_.contains(server); }
+  void OnVerdict(const fleet::Verdict& verdict) override;
+  void OnKey(const fleet::KeySite& site, fleet::UnixMs met) override;
+  void OnShare(int most_in_flight) override;
 
   boost::asio::ip::tcp::endpoint address() const { return clients_->address(); }
   // Where operators call; of a configuration that names it.
@@ -68,6 +73,7 @@
     std::shared_ptr<const Config> config;
     Steady::time_point due{};
     std::shared_ptr<Responder> responder;  // null once answered
+    std::uint64_t key = 0;
     int attempts = 0;
     bool attempt_out = false;
     Steady::time_point sent_at{};  // the attempt, or the request's last byte
@@ -89,6 +95,8 @@
   void ObeyMaintenance();
   void AnswerSeen();
 
+  OperatorReply AskFleet(const OperatorCall& call);
+
   bool Taking() const;
   void OpenWhenListed();
   void OnLook();
@@ -108,6 +116,7 @@
   void Do(const Subscribe& action);
   void Do(const struct CloseIdle& action);
   void Do(const Log& action);
+  void Do(const Ejected& action);
 
   void OnAttemptBegun(RequestId request, int attempt, AnswerHead head);
   void OnAttemptDone(RequestId request, int attempt, ServerId server, AttemptResult result);
@@ -129,6 +138,7 @@
   std::deque<Event> events_;
   bool handling_ = false;
   bool listed_ = false;
+  std::unordered_set<std::string> in_list_;  // servers that discovery's list has now
   std::multimap<TimePoint, std::uint64_t> timers_;
   TimePoint armed_for_;
   boost::asio::steady_timer timer_, open_timer_;
--- a/src/proxy/schema.cpp
+++ b/src/proxy/schema.cpp
@@ -40,6 +40,13 @@
     }
   }
 
+  void Flag(const char* key, bool* into) {
+    const json* value = Find(key);
+    if (!value) return;
+    if (!value->is_boolean()) return Fault(key, "is neither true nor false");
+    *into = value->get<bool>();
+  }
+
   template <typename Number>
   void Whole(const char* key, Number low, Number high, Number* into) {
     const json* value = Find(key);
@@ -122,7 +129,8 @@
   Section section(
       root, "fleet",
       {"name", "bind", "advertise", "seeds", "probe_interval_ms", "suspicion_multiplier", "indirect_probes",
-       "retransmit_multiplier", "sync_interval_ms", "forget_ms", "most_bytes_per_second"},
+       "retransmit_multiplier", "sync_interval_ms", "forget_ms", "most_bytes_per_second", "share_verdicts",
+       "server_limit", "affinity_entries", "affinity_ttl_ms", "most_skew_ms"},
       faults);
   fleet.on = section.present();
   section.Text("name", &fleet.name);
@@ -137,6 +145,11 @@
   section.Time("sync_interval_ms", 100, 600000, &fleet.sync_interval);
   section.Time("forget_ms", 1000, 86400000, &fleet.forget);
   section.Whole("most_bytes_per_second", 4096, 1 << 30, &fleet.most_bytes_per_second);
+  section.Flag("share_verdicts", &fleet.share_verdicts);
+  section.Whole("server_limit", 0, 1000000, &fleet.server_limit);
+  section.Whole("affinity_entries", 0, 65536, &fleet.affinity_entries);
+  section.Time("affinity_ttl_ms", 100, 600000, &fleet.affinity_ttl);
+  section.Time("most_skew_ms", 1, 60000, &fleet.most_skew);
   if (!fleet.on) return fleet;
   if (fleet.name.empty()) faults->push_back("fleet.name is empty");
   // A member must not be forgotten sooner than a suspicion can end: 6 times the shortest, in a fleet of
--- a/src/proxy/schema.h
+++ b/src/proxy/schema.h
@@ -30,6 +30,11 @@
   Milliseconds sync_interval{10000};         // between two exchanges of the whole table
   Milliseconds forget{3600000};              // until one that is dead or has left is dropped from the table
   int most_bytes_per_second = 65536;         // sent by this process
+  bool share_verdicts = true;
+  int server_limit = 0;             // requests in flight at one server, of all members; 0: no limit
+  int affinity_entries = 0;         // at most; 0: affinity is not shared
+  Milliseconds affinity_ttl{4000};  // how long a key is taken to be warm where it was met
+  Milliseconds most_skew{500};      // that a member's wall clock may be ahead of another's
 };
 
 // `state`: absent, the directory is $TMPDIR as before.
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -397,6 +397,81 @@
   EXPECT_NE(none.Ask(next_id++, 0, 10, 5000, 7), first);
 }
 
+TEST(Peers, AVerdictTakesAServerOutForNoLongerThanItsOwnBackoff) {
+  Rig rig;
+  rig.Servers(4);
+  const auto advise = [&](ServerId server, double until, int failures, int attempts) {
+    rig.Do(PeerVerdict{server, At(rig.now + until), failures, attempts});
+  };
+  const auto serves = [&](ServerId server) {
+    std::set<ServerId> used;
+    for (int i = 0; i < 4; ++i) used.insert(*rig.Ask(next_id, 0, 10, 900)), ++next_id;
+    for (const Dispatch& sent : std::vector<Dispatch>(rig.sent.end() - 4, rig.sent.end()))
+      rig.End(sent.request, 0, sent.server, Outcome::kOk);
+    return used.contains(server);
+  };
+  advise(1, 1500, 2, 2);
+  EXPECT_TRUE(serves(1)) << "a sample that would not do for its own rule";
+  advise(1, 1500, 3, 9);
+  EXPECT_TRUE(serves(1)) << "a share that would not";
+  advise(1, -1, 3, 3);
+  EXPECT_TRUE(serves(1)) << "over already";
+  advise(1, 60000, 3, 3);
+  EXPECT_EQ(rig.Count<Ejected>(), 0) << "not its own finding: it is not passed on";
+  EXPECT_FALSE(serves(1));
+  advise(2, 1500, 3, 3);
+  EXPECT_TRUE(serves(2)) << "a quarter of the servers are out by advice";
+  rig.Tick(1999);
+  EXPECT_FALSE(serves(1));
+  rig.Tick(2);
+  EXPECT_TRUE(serves(1)) << "its own backoff is 2 s, whatever the peer says";
+}
+
+TEST(Peers, ItsOwnEjectionIsToldWithItsSampleAndItsEnd) {
+  Rig rig;
+  rig.Servers(3);
+  std::vector<Ejected> told;
+  for (int i = 0; i < 30 && told.empty(); ++i) {
+    const RequestId id = next_id++;
+    const ServerId server = *rig.Ask(id, 2, 10, 900);
+    rig.End(id, 0, server, server == 1 ? Outcome::kError : Outcome::kOk, 10, true);
+    for (const Action& action : rig.actions)
+      if (const auto* ejected = std::get_if<Ejected>(&action)) told.push_back(*ejected);
+  }
+  ASSERT_EQ(told.size(), 1u);
+  EXPECT_EQ(told[0].server, ServerId{1});
+  EXPECT_EQ(told[0].until, At(rig.now + 2000));
+  EXPECT_EQ(told[0].failures, told[0].attempts);
+  EXPECT_GE(told[0].attempts, 3);
+}
+
+TEST(Peers, NoServerHasMoreInFlightThanThisProxysShare) {
+  Rig rig;
+  rig.Servers(1);
+  rig.Do(ServerShare{1});
+  int in_flight = 0;
+  for (int i = 0; i < 3; ++i) in_flight += rig.Ask(next_id++, 0, 10, 900).has_value();
+  EXPECT_EQ(in_flight, 1);
+  rig.End(rig.sent.front().request, 0, 1, Outcome::kOk);
+  EXPECT_EQ(rig.Count<Dispatch>(), 1) << "one that was held takes the place";
+  rig.Do(ServerShare{0});
+  EXPECT_EQ(rig.Count<Dispatch>(), 1) << "no limit: what is held goes";
+}
+
+TEST(Peers, AKeyIsWarmWhereAPeerHasSentItAndForgottenInTime) {
+  Settings settings = Usual();
+  settings.warm_keys = true;
+  Rig rig(settings);
+  rig.Servers(8);
+  for (int i = 0; i < 4; ++i) {
+    rig.Do(PeerKey{5, 77, At(rig.now)});
+    const RequestId id = next_id++;
+    EXPECT_EQ(rig.Ask(id, 0, 10, 900, 77), ServerId{5});
+    rig.End(id, 0, 5, Outcome::kOk);
+    rig.Tick(5000);
+  }
+}
+
 TEST(Pick, EjectedServersServeWhenNoneElseCan) {
   Rig rig;
   rig.Servers(3);
--- a/tests/fleet/cluster.h
+++ b/tests/fleet/cluster.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/ip/udp.hpp>
 #include <deque>
+#include <functional>
 #include <sstream>
 
 #include "harness.h"
@@ -33,9 +34,11 @@
 class Cluster {
  public:
   // `section` holds keys of the fleet section in place of the defaults; the first two members are the seeds.
-  // `config` is the rest of each one's configuration.
-  Cluster(std::size_t count, nlohmann::json section,
-          nlohmann::json config = ConfigJson(Tcp::endpoint(kAnyPort.address(), 9), {}))
+  // `config` is the rest of each one's configuration, which `edit` may change for each.
+  Cluster(
+      std::size_t count, nlohmann::json section,
+      nlohmann::json config = ConfigJson(Tcp::endpoint(kAnyPort.address(), 9), {}),
+      const std::function<void(std::size_t, nlohmann::json&)>& edit = [](std::size_t, nlohmann::json&) {})
       : binds_(FreeUdpPorts(count)), relay_(RELAY_PATH, Routes(binds_)), fleet_(PROXY_PATH) {
     for (std::size_t i = 0; i < std::min<std::size_t>(2, count); ++i)
       section["seeds"].push_back(Host(relay_.Port(Name(i))));
@@ -43,7 +46,9 @@
       section["bind"] = Host(binds_[i]);
       section["advertise"] = Host(relay_.Port(Name(i)));
       config["fleet"] = section;
-      fleet_.Start(config);
+      nlohmann::json own = config;
+      edit(i, own);
+      fleet_.Start(std::move(own));
     }
   }
 
--- /dev/null
+++ b/tests/fleet/state_test.cpp
@@ -0,0 +1,328 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Shared state among real processes, with faults between them; and of the registers alone what processes
+// cannot be brought to show.
+#include "fleet/state.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+
+#include "cluster.h"
+#include "fleet/message.h"
+
+namespace brackenspoke::testing::fleet {
+namespace {
+
+namespace fl = brackenspoke::fleet;
+
+const nlohmann::json kQuick{{"probe_interval_ms", 200}, {"sync_interval_ms", 500}};
+const Tcp::endpoint kNobody(kAnyPort.address(), 9);
+
+Backend::Answer Failing() {
+  return [](Tcp::socket& s, const HttpRequest&) {
+    SendRaw(s, "HTTP/1.1 500 Broken\r\nContent-Length: 0\r\n\r\n");
+    return true;
+  };
+}
+
+// Three servers, of which the first one fails, but in front of the first process only.
+struct OneSidedFailure {
+  OneSidedFailure() : bad(Failing()), one("s-1"), two("s-2"), three("s-3") {}
+  void operator()(std::size_t member, nlohmann::json& config) const {
+    config["known"] = ListJson(41, true,
+                               Members(MemberJson("s-1", member == 0 ? bad.address() : one.address()),
+                                       MemberJson("s-2", two.address()), MemberJson("s-3", three.address())));
+  }
+  Backend bad, one, two, three;
+};
+
+// Requests to each address added, one connection for each, until this goes; the answers don't matter.
+class Load {
+ public:
+  ~Load() {
+    over_ = true;
+    for (std::thread& thread : threads_) thread.join();
+  }
+  void Add(const Tcp::endpoint& at) {
+    threads_.emplace_back([this, at] {
+      while (!over_) {
+        Client client(at);
+        while (!over_ && client.Ask(Look()).result_int() != 0) std::this_thread::sleep_for(milliseconds(4));
+      }
+    });
+  }
+
+ private:
+  std::atomic<bool> over_ = false;
+  std::vector<std::thread> threads_;
+};
+
+// Asks until the process has ejected a server.
+bool ProvokeEjection(Cluster& cluster, std::size_t member) {
+  const auto mark = cluster.process(member).Mark();
+  for (int i = 0; i < 200; ++i) {
+    Client(cluster[member].clients).Ask(Look());
+    if (cluster.process(member).WaitFor(" ejected: ", mark, milliseconds(1))) return true;
+  }
+  return false;
+}
+
+double Figure(const std::string& line, const std::string& key) {
+  return std::stod(line.substr(line.find(" " + key + "=") + key.size() + 2));
+}
+
+// Of each verdict that a process took from a peer: none may be older than its bound.
+void ExpectFresh(Cluster& cluster) {
+  for (std::size_t i = 0; i < cluster.size(); ++i) {
+    for (const std::string& line : cluster.process(i).Lines()) {
+      if (!line.ends_with(" taken")) continue;
+      EXPECT_GT(Figure(line, "left_ms"), 0) << line;
+      EXPECT_LE(Figure(line, "age_ms"), kLongestEjection.count() + 2 * 200) << line;
+    }
+  }
+}
+
+TEST(SharedState, AllStopSendingToAServerThatFailsOneAndReturnItTogether) {
+  const OneSidedFailure servers;
+  Cluster cluster(5, kQuick, ConfigJson(kNobody, {}), std::cref(servers));
+  ASSERT_TRUE(cluster.WaitUntilWhole());
+  {
+    Load load;
+    for (std::size_t i = 0; i < 5; ++i) load.Add(cluster[i].clients);
+    const auto first = cluster.process(0).WaitFor(" ejected: ");
+    ASSERT_TRUE(first);
+    const auto ejected = cluster.process(0).When(first->first);
+    std::vector<std::chrono::steady_clock::time_point> returns;
+    for (std::size_t i = 0; i < 5; ++i) {
+      const auto out = i == 0 ? first : cluster.process(i).WaitFor(" ejected on a peer's word");
+      ASSERT_TRUE(out) << i;
+      EXPECT_LE(cluster.process(i).When(out->first) - ejected, milliseconds(2 * 200)) << i;
+    }
+    for (std::size_t i = 1; i < 5; ++i)
+      for (int k = 0; k < 5; ++k) EXPECT_NE(Client(cluster[i].clients).Ask(Look()).body(), "s-1") << i;
+    for (std::size_t i = 0; i < 5; ++i) {
+      const auto back = cluster.process(i).WaitFor(" returns to service");
+      ASSERT_TRUE(back) << i;
+      returns.push_back(cluster.process(i).When(back->first));
+    }
+    const auto [soonest, latest] = std::minmax_element(returns.begin(), returns.end());
+    EXPECT_LE(*latest - *soonest, milliseconds(500));
+  }
+  ExpectFresh(cluster);
+}
+
+TEST(SharedState, AfterAPartitionAllHoldTheNewerVerdict) {
+  const OneSidedFailure servers;
+  Cluster cluster(5, kQuick, ConfigJson(kNobody, {}), std::cref(servers));
+  ASSERT_TRUE(cluster.WaitUntilWhole());
+  cluster.Cut({3, 4});
+  ASSERT_TRUE(ProvokeEjection(cluster, 0));
+  for (const std::size_t i : {1, 2})
+    EXPECT_TRUE(cluster.process(i).WaitFor("verdict server=s-1 from=n1")) << i;
+  EXPECT_EQ(cluster.Count("verdict server=s-1"), 2u) << "through the cut";
+  cluster.Heal();
+  for (const std::size_t i : {3, 4})
+    EXPECT_TRUE(cluster.process(i).WaitFor("verdict server=s-1 from=n1")) << i;
+  ExpectFresh(cluster);
+}
+
+TEST(SharedState, AVerdictReachesAllUnder30PercentLoss) {
+  const OneSidedFailure servers;
+  Cluster cluster(5, kQuick, ConfigJson(kNobody, {}), std::cref(servers));
+  ASSERT_TRUE(cluster.WaitUntilWhole());
+  cluster.Relay("FAULT * drop=0.3");
+  ASSERT_TRUE(ProvokeEjection(cluster, 0));
+  for (std::size_t i = 1; i < 5; ++i)
+    EXPECT_TRUE(cluster.process(i).WaitFor("verdict server=s-1 from=n1")) << i;
+  ExpectFresh(cluster);
+}
+
+// What a member that lies sends to `member`: one verdict.
+void Lie(Cluster& cluster, std::size_t member, const std::string& server, std::int64_t ahead_ms,
+         int attempts) {
+  const auto wall =
+      std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count() +
+      ahead_ms;
+  fl::Message message;
+  message.kind = fl::Message::Kind::kState;
+  message.sender = {"liar", Udp::endpoint(kNobody.address(), 9), fl::MemberState::kAlive, 1, ""};
+  const auto stamp = static_cast<fl::Stamp>(wall) << fl::kCounterBits;
+  message.state = {{"v", server, stamp, "liar", static_cast<fl::UnixMs>(wall + 5000), 9, attempts}};
+  boost::asio::io_context io;
+  Udp::socket socket(io, Udp::endpoint(kNobody.address(), 0));
+  socket.send_to(boost::asio::buffer(fl::Encode("flintspar", message)),
+                 Udp::endpoint(kNobody.address(), cluster.bind(member)));
+}
+
+TEST(SharedState, AMemberThatLiesTakesOutAQuarterAtMost) {
+  Backend server;
+  std::vector<nlohmann::json> list;
+  for (const char* id : {"s-1", "s-2", "s-3", "s-4"}) list.push_back(MemberJson(id, server.address()));
+  Cluster cluster(1, kQuick, ConfigJson(kNobody, list));
+  Process& process = cluster.process(0);
+  Lie(cluster, 0, "s-9", 0, 9);
+  EXPECT_TRUE(process.WaitFor("state server=s-9 from=liar refused=unlisted"));
+  Lie(cluster, 0, "s-1", 60000, 9);
+  EXPECT_TRUE(process.WaitFor("state server=s-1 from=liar refused=future"));
+  Lie(cluster, 0, "s-1", -60000, 9);
+  EXPECT_TRUE(process.WaitFor("state server=s-1 from=liar refused=stale"));
+  Lie(cluster, 0, "s-1", 0, 8);
+  EXPECT_TRUE(process.WaitFor("state server=s-1 from=liar refused=implausible"));
+  for (const char* id : {"s-1", "s-2", "s-3", "s-4"}) {
+    const auto mark = process.Mark();
+    Lie(cluster, 0, id, 0, 9);
+    ASSERT_TRUE(process.WaitFor("ejected on a peer's word", mark)) << id;
+  }
+  EXPECT_EQ(cluster.Count("not ejected on a peer's word"), 3u);
+  EXPECT_EQ(Client(cluster[0].clients).Ask(Look()).body(), "served");
+}
+
+TEST(SharedState, TheFleetKeepsTheLimitOfOneServerWhileMembersDieAndComeBack) {
+  constexpr int kLimit = 10, kJoiners = 2;
+  std::atomic<int> now = 0, most = 0;
+  Backend server([&](Tcp::socket& s, const HttpRequest&) {
+    const int seen = ++now;
+    for (int before = most; seen > before && !most.compare_exchange_weak(before, seen);) continue;
+    std::this_thread::sleep_for(milliseconds(20));
+    --now;
+    SendRaw(s, OkAnswer("served"));
+    return true;
+  });
+  nlohmann::json section = kQuick;
+  section["server_limit"] = kLimit;
+  Cluster cluster(5, section, ConfigJson(kNobody, Members(MemberJson("s-1", server.address()))));
+  ASSERT_TRUE(cluster.WaitUntilWhole());
+  for (std::size_t i = 0; i < 5; ++i) ASSERT_TRUE(cluster.process(i).WaitFor("limit=10 share=2")) << i;
+  auto load = std::make_unique<Load>();
+  for (std::size_t i = 0; i < 3; ++i)
+    for (int k = 0; k < 8; ++k) load->Add(cluster[i].clients);
+  std::vector<std::size_t> marks = cluster.Marks();
+  cluster.process(3).Kill();
+  cluster.process(4).Kill();
+  for (const std::size_t i : {0, 1, 2})
+    EXPECT_TRUE(cluster.process(i).WaitFor("limit=10 share=3", marks[i])) << "the dead ones' share returns";
+  marks = cluster.Marks();
+  cluster.Restart(3);
+  cluster.Restart(4);
+  for (std::size_t i = 3; i < 5; ++i)
+    for (int k = 0; k < 8; ++k) load->Add(cluster[i].clients);
+  for (std::size_t i = 0; i < 5; ++i)
+    EXPECT_TRUE(cluster.process(i).WaitFor("limit=10 share=2", i < 3 ? marks[i] : 0)) << i;
+  load.reset();
+  std::printf("most at the server at once %d, limit %d\n", most.load(), kLimit);
+  EXPECT_GE(most, 3) << "nothing was asked of it";
+  EXPECT_LE(most, kLimit + kJoiners) << "a joiner may have one before the others know of it";
+}
+
+TEST(SharedState, AKeyIsWarmForAllWhereOneHasSentIt) {
+  std::deque<Backend> servers;
+  std::vector<nlohmann::json> list;
+  for (const char* id : {"s-1", "s-2", "s-3", "s-4", "s-5", "s-6"}) {
+    servers.emplace_back(std::string(id));
+    list.push_back(MemberJson(id, servers.back().address()));
+  }
+  nlohmann::json config = ConfigJson(kNobody, list), section = kQuick;
+  config["settings"]["specifics"]["warmKeys"] = true;
+  section["affinity_entries"] = 100;
+  section["affinity_ttl_ms"] = 60000;
+  Cluster cluster(3, section, config);
+  ASSERT_TRUE(cluster.WaitUntilWhole());
+  for (int key = 0; key < 5; ++key) {
+    const std::string request = Look("Cookie: obj=player" + std::to_string(key) + "\r\n");
+    const std::string met = Client(cluster[0].clients).Ask(request).body();
+    const auto until = std::chrono::steady_clock::now() + kBound;
+    const std::string held = "affinity=" + std::to_string(key + 1) + " ";
+    while (Call(cluster[1].operators, "STATE").find(held) == std::string::npos &&
+           std::chrono::steady_clock::now() < until)
+      std::this_thread::sleep_for(milliseconds(10));
+    EXPECT_EQ(Client(cluster[1].clients).Ask(request).body(), met) << key;
+  }
+}
+
+// A member's registers alone.
+struct Registers : fl::SharedState::Host {
+  explicit Registers(const std::string& name) : state(Options(name), *this) {}
+  static fl::StateOptions Options(const std::string& name) {
+    fl::StateOptions options;
+    options.name = name;
+    options.affinity_entries = 3;
+    options.longest_ejection = 20000;
+    options.way = 400;
+    return options;
+  }
+  bool Listed(const std::string&) const override { return true; }
+  void Taken(const fl::Entry& entry) override { taken.push_back(entry); }
+  void Refused(const std::string&, const std::string&, fl::Refusal why) override { refused.push_back(why); }
+  void HearAll(Registers& from, fl::UnixMs now) {
+    for (const auto& piece : from.state.All(now, 1000)) state.Receive(now, piece);
+  }
+  std::vector<fl::Entry> taken;
+  std::vector<fl::Refusal> refused;
+  fl::SharedState state;
+};
+
+TEST(Registers, TheLaterWriteWinsAtBothWhateverTheOrderAndDigestsAgree) {
+  Registers a("a"), b("b");
+  constexpr fl::UnixMs kNow = 1700000000000;
+  a.state.Write(kNow, fl::Verdict{"s-1", kNow + 2000, 3, 3});
+  b.state.Write(kNow + 1, fl::Verdict{"s-1", kNow + 4000, 5, 6});
+  EXPECT_NE(a.state.Digest(kNow + 2), b.state.Digest(kNow + 2));
+  b.HearAll(a, kNow + 2);
+  EXPECT_TRUE(b.taken.empty()) << "older than its own";
+  a.HearAll(b, kNow + 2);
+  ASSERT_EQ(a.taken.size(), 1u);
+  EXPECT_EQ(std::get<fl::Verdict>(a.taken[0].fact).attempts, 6);
+  EXPECT_EQ(a.state.Digest(kNow + 2), b.state.Digest(kNow + 2));
+  a.state.Write(kNow - 500, fl::Verdict{"s-1", kNow + 3000, 2, 2});
+  b.HearAll(a, kNow + 3);
+  EXPECT_EQ(b.taken.size(), 1u) << "a clock that is behind follows what it has seen";
+}
+
+TEST(Registers, NothingOutlivesItsBoundAndTheMapOfKeysItsSize) {
+  Registers a("a"), b("b");
+  constexpr fl::UnixMs kNow = 1700000000000;
+  a.state.Write(kNow, fl::Verdict{"s-1", kNow + 2000, 3, 3});
+  for (std::uint64_t key = 1; key <= 5; ++key) a.state.Write(kNow + key, fl::KeySite{key, "s-2"});
+  EXPECT_EQ(a.state.Summarize(kNow + 10).sites, 3u);
+  EXPECT_EQ(a.state.Summarize(kNow + 10).verdicts, 1u);
+  const auto late = a.state.All(kNow + 10, 1000);
+  for (const auto& piece : late) b.state.Receive(kNow + 4005, piece);
+  EXPECT_TRUE(b.taken.empty());
+  EXPECT_EQ(b.refused, std::vector<fl::Refusal>(4, fl::Refusal::kStale));
+  EXPECT_EQ(a.state.Summarize(kNow + 4005).sites + a.state.Summarize(kNow + 4005).verdicts, 0u);
+}
+
+TEST(Registers, EntriesArePassedOnABoundedNumberOfTimesWithinTheRoom) {
+  Registers a("a");
+  constexpr fl::UnixMs kNow = 1700000000000;
+  for (int i = 0; i < 40; ++i)
+    a.state.Write(kNow, fl::Verdict{"server-" + std::to_string(i), kNow + 2000, 3, 3});
+  std::map<std::string, int> passed;
+  for (int i = 0; i < 200; ++i) {
+    const auto entries = a.state.Fill(kNow, 300, 4);
+    EXPECT_LE(nlohmann::json::to_msgpack(entries).size(), 300u);
+    for (const auto& entry : entries) ++passed[entry.at(1)];
+  }
+  EXPECT_EQ(passed.size(), 40u);
+  for (const auto& [server, times] : passed) EXPECT_EQ(times, 4) << server;
+}
+
+TEST(Registers, EntriesThatAreNoneAreCountedAndTheRestIsTaken) {
+  Registers a("a");
+  constexpr fl::UnixMs kNow = 1700000000000;
+  const std::uint64_t stamp = kNow << fl::kCounterBits;
+  const nlohmann::json entries = nlohmann::json::array({7,
+                                                        {"v"},
+                                                        {"v", "", stamp, "b", kNow + 1, 1, 1},
+                                                        {"x", "s", 1, "b"},
+                                                        {"v", "s", stamp, "b", kNow + 1, -1, 1},
+                                                        {"v", "s", stamp, "b", kNow + 1000, 3, 3}});
+  a.state.Receive(kNow, nlohmann::json::from_msgpack(nlohmann::json::to_msgpack(entries)));
+  a.state.Receive(kNow, "text");
+  EXPECT_EQ(a.refused, std::vector<fl::Refusal>(6, fl::Refusal::kMalformed));
+  EXPECT_EQ(a.taken.size(), 1u);
+}
+
+}  // namespace
+}  // namespace brackenspoke::testing::fleet
