--- a/include/brackenspoke/balancer.h
+++ b/include/brackenspoke/balancer.h
@@ -157,8 +157,21 @@
 struct ServerShare {
   int most_in_flight = 0;
 };
-using Event = std::variant<ListUpdate, Submit, StreamStarted, AttemptEnded, ClientGone, TimerFired, Detach,
-                           Attach, Sharing, NewSettings, Uploaded, PeerVerdict, PeerKey, ServerShare>;
+// A life before of this proxy had taken the server out until then; it had been out so many times in a row.
+struct Restored {
+  ServerId server = 0;
+  TimePoint until{};
+  int multiplier = 1;
+};
+// What the module learns of the servers' pace, and takes from a life before. All are 0 or more.
+struct Pace {
+  double answers_per_ms = 0;
+  double work_per_ms = 0, warm_work_per_ms = 0;  // of all servers; of a warm one
+  double stretch = 0;                            // time over hinted work, of large requests
+};
+using Event =
+    std::variant<ListUpdate, Submit, StreamStarted, AttemptEnded, ClientGone, TimerFired, Detach, Attach,
+                 Sharing, NewSettings, Uploaded, PeerVerdict, PeerKey, ServerShare, Restored, Pace>;
 
 // No verdict of this module reaches further: the longest ejection, and the spread of return times.
 inline constexpr Duration kLongestEjection{20000};
@@ -192,6 +205,7 @@
   ServerId server = 0;
   TimePoint until{};
   int failures = 0, attempts = 0;
+  int multiplier = 1;
 };
 using Action = std::variant<Dispatch, Refuse, Fail, SetTimer, Subscribe, CloseIdle, Log, Ejected>;
 
@@ -206,6 +220,8 @@
   // the content of an event.
   void Handle(TimePoint now, const Event& event, std::vector<Action>* actions);
 
+  Pace Learnt() const;
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -206,6 +206,8 @@
     out_ = nullptr;
   }
 
+  Pace Learnt() const { return {served_rate_, work_rate_, warm_rate_, stretch_}; }
+
  private:
   // ---- 3. Pick ----------------------------------------------------------------------------------------
   bool Usable(const Server& s) const { return s.entry.state == ServerState::kReady && !s.detached; }
@@ -548,7 +550,8 @@
       LogLine("server " + std::to_string(s.entry.server) + " ejected: " + std::to_string(s.health.failures) +
               " of " + std::to_string(s.health.attempts()) + " attempts failed");
     }
-    out_->push_back(Ejected{s.entry.server, s.health.return_at, s.health.failures, s.health.attempts()});
+    out_->push_back(Ejected{s.entry.server, s.health.return_at, s.health.failures, s.health.attempts(),
+                            s.health.multiplier});
   }
 
   void On(const PeerVerdict& e) {
@@ -567,6 +570,27 @@
     FleetChanged();
   }
 
+  // Its own verdict of a life before holds for the time that it had left.
+  void On(const Restored& e) {
+    const auto found = index_.find(e.server);
+    if (found == index_.end() || !Usable(servers_[found->second]) || e.until <= now_) return;
+    Server& s = servers_[found->second];
+    if (s.health.ejected) return;
+    OutlierDetector::Eject(s.health, fleet_);
+    s.health.multiplier = std::max(1, e.multiplier);
+    s.health.return_at = std::min(e.until, now_ + kLongestEjection);
+    next_return_ = std::min(next_return_, s.health.return_at);
+    FleetChanged();
+  }
+
+  // A young proxy that knows the pace of a life before does not start from nothing.
+  void On(const Pace& e) {
+    if (outcomes_ > 0) return;
+    served_rate_ = e.answers_per_ms, work_rate_ = e.work_per_ms, warm_rate_ = e.warm_work_per_ms;
+    young_samples_ = samples_ = kYoung;
+    if (e.stretch > 0) stretch_ = e.stretch, stretch_votes_ = kLeastVotes;
+  }
+
   void On(const PeerKey& e) {
     const auto found = index_.find(e.server);
     if (!settings_.warm_keys || found == index_.end()) return;
@@ -1081,6 +1105,7 @@
 Balancer::~Balancer() = default;
 Balancer::Balancer(Balancer&&) noexcept = default;
 Balancer& Balancer::operator=(Balancer&&) noexcept = default;
+Pace Balancer::Learnt() const { return impl_->Learnt(); }
 
 void Balancer::Handle(TimePoint now, const Event& event, std::vector<Action>* actions) {
   impl_->Handle(now, event, actions);
--- a/src/fleet/lease.cpp
+++ b/src/fleet/lease.cpp
@@ -27,6 +27,13 @@
   }
 }
 
+void Leases::Outgrow(const std::string& name, Token token) {
+  const auto duty = duties_.find(name);
+  if (duty == duties_.end()) return;
+  duty->second.largest = std::max(duty->second.largest, token);
+  votes_.at(name).largest = std::max(votes_.at(name).largest, token);
+}
+
 Span Leases::Random(Span from, Span to) {
   return from + Span(std::uniform_int_distribution<Span::rep>(0, (to - from).count())(random_));
 }
--- a/src/fleet/lease.h
+++ b/src/fleet/lease.h
@@ -61,6 +61,10 @@
   void Release(Time now);
   void Resume(Time now);
 
+  // A token that has been seen in a life before.
+  void Outgrow(const std::string& duty, Token token);
+  Token largest(const std::string& duty) const { return duties_.at(duty).largest; }
+
   // By the clock as it is, not as it was at the last Tick: a process that stood still must not act.
   Role role(Time now, const std::string& duty) const;
   // Of the lease that is held or followed; 0: of none.
--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -192,6 +192,10 @@
     if (seed != options_.address && ++asked <= kMostSeedsAsked) Ask(seed);
 }
 
+void Membership::Outlive(Time now, std::uint64_t incarnation) {
+  if (incarnation >= self_.last.incarnation) Refute(now, incarnation);
+}
+
 void Membership::Leave(Time now) {
   if (silent_) return;
   Update left = self_.last;
--- a/src/fleet/membership.h
+++ b/src/fleet/membership.h
@@ -81,6 +81,8 @@
   void Tick(Time now);
   Time Next() const;
 
+  // Raises this member's incarnation to at least this.
+  void Outlive(Time now, std::uint64_t incarnation);
   // Announces that this member goes; it is silent from then on, but for Rejoin.
   void Leave(Time now);
   void Rejoin(Time now);
--- a/src/fleet/node.cpp
+++ b/src/fleet/node.cpp
@@ -139,7 +139,7 @@
 }
 
 void Node::StartLeases() {
-  if (section_.lease_term.count() == 0) return;
+  if (section_.lease_term.count() == 0) return Restore(kept_);
   LeaseOptions options;
   options.holder = fmt::format("{}/{}", name_, membership_->self().last.incarnation);
   options.address = section_.advertise;
@@ -150,6 +150,22 @@
   options.seed = seed_;
   leases_.emplace(std::move(options), Steady::now(), static_cast<Leases::Outlet&>(*this));
   if (away_) leases_->Release(Steady::now());
+  Restore(kept_);
+}
+
+Node::Kept Node::Keep() const {
+  Kept kept = kept_;
+  if (membership_) kept.incarnation = membership_->self().last.incarnation;
+  for (const char* duty : {kDiscoveryDuty, kMaintenanceDuty})
+    if (leases_) kept.tokens[duty] = leases_->largest(duty);
+  return kept;
+}
+
+void Node::Restore(const Kept& kept) {
+  kept_ = kept;
+  if (membership_) membership_->Outlive(Steady::now(), kept.incarnation);
+  if (!leases_) return;
+  for (const auto& [duty, token] : kept.tokens) leases_->Outgrow(duty, token);
 }
 
 void Node::Send(const Udp::endpoint& to, const LeaseMessage& lease) {
@@ -214,6 +230,11 @@
   if (!message.state.is_null() && state_.Receive(UnixMilliseconds(), message.state)) PushState();
   if (message.kind == Message::Kind::kSync && message.digest != state_.Digest(UnixMilliseconds()))
     SendState(message.sender.address);
+  // A peer's table that came with the digest of its state, once that is held here, too.
+  if (message.kind == Message::Kind::kSync && !message.updates.empty()) joining_digest_ = message.digest;
+  if (joined_ || !joining_digest_ || *joining_digest_ != state_.Digest(UnixMilliseconds())) return;
+  joined_ = true;
+  facts_.OnJoined();
 }
 
 // A new verdict goes to a few members at once; each passes it on when it is new there, too.
--- a/src/fleet/node.h
+++ b/src/fleet/node.h
@@ -38,6 +38,8 @@
   virtual void OnKey(const KeySite& site, UnixMs met) = 0;
   // Of the fleet's limit of requests in flight at one server, what is this process's.
   virtual void OnShare(int most_in_flight) = 0;
+  // A peer's whole table and state have come for the first time.
+  virtual void OnJoined() = 0;
   // What this process is to a duty from now on.
   virtual void OnRole(const std::string& duty, Role role) = 0;
   // The holder of a duty has made this known.
@@ -60,6 +62,14 @@
   // Leaves, and leaves the address to another process.
   void Stop();
 
+  // For the process's next life; and what a life before had. To be called before the event loop runs.
+  struct Kept {
+    std::uint64_t incarnation = 0;
+    std::map<std::string, Token> tokens;
+  };
+  Kept Keep() const;
+  void Restore(const Kept& kept);
+
   // What this process has found, for its peers.
   void Tell(Verdict verdict);
   void Tell(KeySite site);
@@ -132,6 +142,9 @@
   std::optional<Membership> membership_;  // once the address is had
   std::optional<Leases> leases_;          // where they are wanted
   Time armed_{};
+  Kept kept_;  // of a life before
+  bool joined_ = false;
+  std::optional<std::uint64_t> joining_digest_;
   bool settled_ = false;  // every member may be taken to know of this one
   int share_ = -1;        // as last told
   Time refusals_from_{};  // of the count that follows
--- a/src/proxy/config.cpp
+++ b/src/proxy/config.cpp
@@ -167,7 +167,6 @@
   config.listen = Address(env("ROUTER_LISTEN"), root, "listen");
   config.discovery = Address(env("ROUTER_DISCOVERY"), root, "discovery");
   config.operators = OptionalAddress(env("ROUTER_OPS"), root, "ops");
-  if (config.operators) config.state_path = StatePath(env("TMPDIR"), config.listen);
   config.seed = SeedOf(root);
   if (const auto limits = root.find("limits"); limits != root.end()) {
     config.sockets = limits->value("sockets", config.sockets);
@@ -205,6 +204,10 @@
   std::vector<std::string> faults;
   config.fleet = ReadFleet(root, &faults);
   config.state = ReadState(root, &faults);
+  const char* directory = config.state.dir.empty() ? env("TMPDIR") : config.state.dir.c_str();
+  if (config.operators || config.state.on) config.state_path = StatePath(directory, config.listen);
+  if (config.state.on && config.state_path.empty())
+    faults.push_back("state.dir is missing, and $TMPDIR is not set");
   if (config.fleet.on && !FitForMember(config.name))
     faults.push_back("name is not 1 to 64 bytes without blanks, as a member of a fleet needs");
   if (!faults.empty()) throw BadConfig(Joined(faults));
--- a/src/proxy/maintenance.cpp
+++ b/src/proxy/maintenance.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "log.h"
+#include "state/snapshot.h"
 
 namespace brackenspoke::proxy {
 
@@ -29,12 +30,11 @@
   return out;
 }
 
-bool Maintenance::Write(const std::set<std::string>& out) const {
-  const std::string fresh = path_ + ".new";
-  std::ofstream file(fresh, std::ios::trunc);
-  for (const std::string& id : out) file << id << '\n';
-  file.close();
-  return file.good() && std::rename(fresh.c_str(), path_.c_str()) == 0;
+// On the disk before anybody is told.
+void Maintenance::Write(const std::set<std::string>& out) const {
+  std::string lines;
+  for (const std::string& id : out) lines += id + '\n';
+  state::WriteWhole(path_, "", std::span(reinterpret_cast<const std::uint8_t*>(lines.data()), lines.size()));
 }
 
 bool Maintenance::Change(const std::string& id, bool out) {
@@ -58,7 +58,7 @@
     std::set<std::string> changed = before;
     edit(changed);
     if (changed != before) {
-      if (!Write(changed)) return false;
+      Write(changed);
       version_ = overlap_.NextVersion();
     } else {
       version_ = overlap_.version();
--- a/src/proxy/maintenance.h
+++ b/src/proxy/maintenance.h
@@ -31,7 +31,7 @@
   template <typename Edit>
   bool Keep(Edit edit);
   std::set<std::string> Read() const;
-  bool Write(const std::set<std::string>& out) const;
+  void Write(const std::set<std::string>& out) const;
 
   std::string path_;
   Overlap& overlap_;
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -84,6 +84,7 @@
       overlap_(io, InState(*config_, ".page")),
       maintenance_(InState(*config_, ".maintenance"), overlap_),
       balancer_(config_->settings, config_->seed),
+      recovery_timer_(io),
       armed_for_(kUnarmed),
       timer_(io),
       open_timer_(io),
@@ -117,6 +118,7 @@
     for (const Member& member : config_->known.members) known_servers_[member.id] = member;
     fleet_ = std::make_unique<fleet::Node>(io, config_->fleet, config_->name, seed, *this);
   }
+  if (config_->state.on) BeginState();
   overlap_.Watch([this] { OnLook(); });
 }
 
@@ -133,7 +135,9 @@
 bool Proxy::Taking() const { return listed_ && clients_->Listening() && !clients_->Draining(); }
 
 // To clients all processes of this proxy are one.
-bool Proxy::Ready() const { return Taking() || (clients_->Stopping() && overlap_.OtherTakes()); }
+bool Proxy::Ready() const {
+  return !recovering_ && (Taking() || (clients_->Stopping() && overlap_.OtherTakes()));
+}
 
 void Proxy::Stop(std::function<void()> done) {
   if (fleet_) fleet_->Stop();
@@ -314,7 +318,92 @@
 
 void Proxy::OnShare(int most_in_flight) { Feed(ServerShare{most_in_flight}); }
 
+// The last snapshot, if it passes; without one, with a fleet, a peer's state, if it comes in time.
+void Proxy::BeginState() {
+  state::KeeperOptions options;
+  options.path = InState(*config_, ".snapshot");
+  options.name = config_->name;
+  options.interval = config_->state.snapshot_interval;
+  options.most_age = config_->state.max_age;
+  options.most_skew = config_->fleet.most_skew;
+  keeper_ = std::make_unique<state::Keeper>(io_, options);
+  if (const auto body = keeper_->Recover()) {
+    try {
+      Take(*body);
+    } catch (const nlohmann::json::exception& error) {
+      log::Warn("state", std::string("snapshot not taken whole: ") + error.what());
+    }
+  } else if (fleet_ && config_->state.peer_wait.count() > 0) {
+    recovering_ = true;
+    recovery_timer_.expires_after(config_->state.peer_wait);
+    recovery_timer_.async_wait([this](const boost::system::error_code& cancelled) {
+      if (cancelled || !std::exchange(recovering_, false)) return;
+      log::Info("state", "no peer's state in time");
+    });
+  }
+  keeper_->Begin([this] { return Collect(); });
+}
+
+void Proxy::OnJoined() {
+  if (!std::exchange(recovering_, false)) return;
+  recovery_timer_.cancel();
+  log::Info("state", "recovered from a peer");
+}
+
+// For the next life of this process.
+nlohmann::json Proxy::Collect() const {
+  nlohmann::json body;
+  const double now = clock_.ToUnix(clock_.Now());
+  body["verdicts"] = nlohmann::json::array();
+  for (const auto& [id, verdict] : own_verdicts_)
+    if (verdict.until_unix_ms > now)
+      body["verdicts"].push_back(
+          {{"server", id}, {"until", verdict.until_unix_ms}, {"multiplier", verdict.multiplier}});
+  const Pace pace = balancer_.Learnt();
+  body["pace"] = {pace.answers_per_ms, pace.work_per_ms, pace.warm_work_per_ms, pace.stretch};
+  if (fleet_) {
+    const auto kept = fleet_->Keep();
+    body["incarnation"] = kept.incarnation;
+    body["tokens"] = kept.tokens;
+  }
+  return body;
+}
+
+// Throws json::exception on what is out of form; what came before it holds.
+void Proxy::Take(const nlohmann::json& body) {
+  const double now = clock_.ToUnix(clock_.Now());
+  for (const auto& verdict : body.at("verdicts")) {
+    const OwnVerdict own{verdict.at("until").get<double>(), verdict.at("multiplier").get<int>(), true};
+    const auto id = verdict.at("server").get<std::string>();
+    const double left = own.until_unix_ms - now;
+    if (!(left > 0) || left > kLongestEjection.count()) continue;  // over, or none that this program writes
+    own_verdicts_[id] = own;
+    log::Info("state",
+              "verdict server=" + id + " left_ms=" + std::to_string(std::llround(left)) + " restored");
+  }
+  RestoreListed();
+  const auto& pace = body.at("pace");
+  const auto figure = [&pace](std::size_t i) {
+    const double x = pace.at(i).get<double>();
+    return std::isfinite(x) && x >= 0 ? x : 0;
+  };
+  Feed(Pace{figure(0), figure(1), figure(2), figure(3)});
+  if (!fleet_ || !body.contains("incarnation")) return;
+  fleet_->Restore({body.at("incarnation").get<std::uint64_t>(),
+                   body.at("tokens").get<std::map<std::string, fleet::Token>>()});
+}
+
+// Before any request can see a server that a life before had taken out.
+void Proxy::RestoreListed() {
+  for (auto& [id, verdict] : own_verdicts_) {
+    if (!verdict.waits || !in_list_.contains(id)) continue;
+    verdict.waits = false;
+    Feed(Restored{numbers_.Of(id), clock_.FromUnix(verdict.until_unix_ms), verdict.multiplier});
+  }
+}
+
 void Proxy::Do(const Ejected& action) {
+  own_verdicts_[numbers_.IdOf(action.server)] = {clock_.ToUnix(action.until), action.multiplier, false};
   if (!fleet_) return;
   fleet::Verdict verdict;
   verdict.server = numbers_.IdOf(action.server);
@@ -454,6 +543,7 @@
   }
   listed_ |= !list.members.empty();
   Feed(std::move(update));
+  RestoreListed();
 }
 
 // A zone that the settings don't name is a zone of its own, none of those that they do.
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -28,6 +28,7 @@
 #include "members.h"
 #include "operators.h"
 #include "overlap.h"
+#include "state/keeper.h"
 
 namespace brackenspoke::proxy {
 
@@ -55,6 +56,7 @@
   void OnVerdict(const fleet::Verdict& verdict) override;
   void OnKey(const fleet::KeySite& site, fleet::UnixMs met) override;
   void OnShare(int most_in_flight) override;
+  void OnJoined() override;
   void OnRole(const std::string& duty, fleet::Role role) override;
   void OnDutyFact(const fleet::DutyFact& fact) override;
 
@@ -99,6 +101,10 @@
 
   OperatorReply AskFleet(const OperatorCall& call);
   bool Does(const char* duty) const { return !fleet_ || fleet_->Does(duty); }
+  void BeginState();
+  nlohmann::json Collect() const;
+  void Take(const nlohmann::json& body);
+  void RestoreListed();
   void WatchDiscovery();
   void OnNews(const MemberList& list);
   void Record(const MemberList& list);
@@ -147,6 +153,15 @@
   std::deque<Event> events_;
   bool handling_ = false;
   bool listed_ = false;
+  // Of this process and, until its server is listed, of a life before.
+  struct OwnVerdict {
+    double until_unix_ms = 0;
+    int multiplier = 1;
+    bool waits = false;  // for its server to be listed
+  };
+  std::map<std::string, OwnVerdict> own_verdicts_;
+  bool recovering_ = false;  // a peer's state is waited for
+  boost::asio::steady_timer recovery_timer_;
   std::unordered_set<std::string> in_list_;      // servers that discovery's list has now
   std::map<std::string, Member> known_servers_;  // with a fleet: as last told, those that are gone among them
   std::map<std::string, bool> held_;             // duties, whether this process holds their leases
@@ -160,7 +175,8 @@
   std::unique_ptr<Clients> clients_;
   std::unique_ptr<Discovery> discovery_;
   std::unique_ptr<Operators> operators_;
-  std::unique_ptr<fleet::Node> fleet_;  // where the configuration has a fleet
+  std::unique_ptr<fleet::Node> fleet_;     // where the configuration has a fleet
+  std::unique_ptr<state::Keeper> keeper_;  // where it has a state section
 };
 
 }  // namespace brackenspoke::proxy
--- a/src/proxy/schema.h
+++ b/src/proxy/schema.h
@@ -39,11 +39,14 @@
   Milliseconds most_skew{500};      // that a member's wall clock may be ahead of another's
 };
 
-// `state`: absent, the directory is $TMPDIR as before.
+// `state`: absent, nothing is kept but the maintenance set, in $TMPDIR as before.
 struct StateSection {
+  bool on = false;
   std::string dir;  // empty: $TMPDIR
   Milliseconds snapshot_interval{5000};
   Milliseconds max_age{60000};  // an older snapshot is not applied
+  Milliseconds peer_wait{
+      2000};  // with a fleet and no usable snapshot: for a peer's state, before it is ready
 };
 
 // "a.b.c.d:port", or "v6:port", which is what boost::asio prints with a colon between; nothing if it is
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -445,6 +445,59 @@
   EXPECT_GE(told[0].attempts, 3);
 }
 
+TEST(LifeBefore, ItsEjectionsHoldForTheTimeThatTheyHadLeft) {
+  Rig rig;
+  rig.Servers(3);
+  rig.Do(Restored{2, At(rig.now + 700), 3});
+  rig.Do(Restored{9, At(rig.now + 700), 1});
+  const auto used = [&] {
+    std::set<ServerId> servers;
+    for (int i = 0; i < 9; ++i) {
+      const RequestId id = next_id++;
+      servers.insert(*rig.Ask(id, 0, 10, 900));
+      rig.End(id, 0, rig.sent.back().server, Outcome::kOk);
+    }
+    return servers;
+  };
+  EXPECT_FALSE(used().contains(2));
+  rig.Tick(699);
+  EXPECT_FALSE(used().contains(2));
+  rig.Tick(2);
+  EXPECT_EQ(used(), (std::set<ServerId>{1, 2, 3}));
+}
+
+TEST(LifeBefore, ItsPaceLetsAYoungProxySendMoreAtOnce) {
+  const auto sent_at_once = [](const Pace& pace) {
+    Rig rig;
+    rig.Servers(4);
+    if (pace.answers_per_ms > 0) rig.Do(pace);
+    int sent = 0;
+    for (int i = 0; i < 40; ++i) sent += rig.Ask(next_id++, 0, 10, 900).has_value();
+    return sent;
+  };
+  const int cold = sent_at_once({});
+  EXPECT_GT(sent_at_once({0.5, 5, 0.25, 1}), cold);
+}
+
+TEST(LifeBefore, WhatItLearntGoesOnToTheNext) {
+  Rig rig;
+  rig.Servers(2);
+  EXPECT_EQ(rig.Learnt().answers_per_ms, 0);
+  for (int i = 0; i < 50; ++i) {
+    const RequestId id = next_id++;
+    const ServerId server = *rig.Ask(id, 0, 10, 900);
+    rig.now += 10;
+    rig.End(id, 0, server, Outcome::kOk);
+  }
+  const Pace pace = rig.Learnt();
+  EXPECT_NEAR(pace.answers_per_ms, 0.1, 0.03);
+  EXPECT_NEAR(pace.work_per_ms, 1, 0.3);
+  Rig next;
+  next.Servers(2);
+  next.Do(pace);
+  EXPECT_EQ(next.Learnt().answers_per_ms, pace.answers_per_ms);
+}
+
 TEST(Peers, NoServerHasMoreInFlightThanThisProxysShare) {
   Rig rig;
   rig.Servers(1);
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -117,6 +117,8 @@
     return n;
   }
 
+  Pace Learnt() const { return balancer_.Learnt(); }
+
   std::vector<Dispatch> sent;
 
  private:
