Follow a lease though larger tokens were asked for in vain

Seen under AddressSanitizer: after a partition healed, the old holder did not become a follower in 20 s. Its side had gone on asking for tokens; each denial told it of tokens asked for on that side, all larger than the majority's, and Leases::Hear held them against the holder's. Tokens that were asked for count for the next request only; what is followed is compared with leases that were had.

--- a/src/fleet/lease.cpp
+++ b/src/fleet/lease.cpp
@@ -187,10 +187,12 @@
   const auto found = duties_.find(name);
   if (found == duties_.end() || holder == options_.holder || left <= Span(0)) return;
   Duty& duty = found->second;
-  if (token < duty.largest || (role(now, name) == Role::kHolder && token <= duty.token)) return;
+  // Larger tokens may have been asked for in vain: only those of leases that were had count here.
+  if (token < duty.token || (role(now, name) == Role::kHolder && token == duty.token)) return;
   if (duty.asking) GiveBack(name, duty);
   const bool changed = duty.role != Role::kFollower || duty.token != token;
-  duty.largest = duty.token = token;
+  duty.token = token;
+  duty.largest = std::max(duty.largest, token);
   duty.holder = holder;
   duty.role = Role::kFollower;
   duty.until = now + left + 2 * options_.drift;
--- a/tests/fleet/lease_test.cpp
+++ b/tests/fleet/lease_test.cpp
@@ -338,6 +338,19 @@
   EXPECT_EQ(table.Holder(), 3u) << "one of three is no majority";
 }
 
+TEST(Protocol, ALeaseIsFollowedThoughLargerTokensWereAskedForInVain) {
+  Table table;
+  table.Run(milliseconds(6000));
+  const std::size_t first = table.Holder();
+  ASSERT_LT(first, 3u);
+  fl::Leases& leases = *table.seats[(first + 1) % 3].leases;
+  // Two are cut off, and this one asks in vain, each time for a larger token.
+  table.Run(milliseconds(9000), {first, (first + 2) % 3});
+  leases.Outgrow("d", 1u << 30);
+  leases.Hear(table.now, "d", "n9/1", table.seats[first].leases->token("d") + 1, milliseconds(1000));
+  EXPECT_EQ(leases.role(table.now, "d"), fl::Role::kFollower);
+}
+
 TEST(Protocol, AHolderThatGivesUpIsFollowedAtOnceAndARestartedVoterKeepsStill) {
   Table table;
   table.Run(milliseconds(6000));
