--- a/bench/lease_handoff.cpp
+++ b/bench/lease_handoff.cpp
@@ -8,7 +8,6 @@
 #include <CLI/CLI.hpp>
 #include <atomic>
 #include <cstdio>
-#include <optional>
 
 #include "fleet_bench.h"
 
@@ -52,20 +51,23 @@
       {"probe_interval_ms", interval_ms}, {"sync_interval_ms", 10 * interval_ms}, {"lease_term_ms", term_ms}};
 }
 
-// The live member that logs first that it holds discovery, from the marks on, and when.
-std::optional<std::pair<std::size_t, Clock::time_point>> Holder(Cluster& cluster,
-                                                                const std::vector<std::size_t>& marks,
-                                                                const std::set<std::size_t>& dead) {
+// The live member that logs first that it holds discovery, from the marks on, and when; an exception if none
+// does.
+struct Held {
+  std::size_t member = 0;
+  Clock::time_point at{};
+};
+Held Holder(Cluster& cluster, const std::vector<std::size_t>& marks, const std::set<std::size_t>& dead) {
   const auto until = Clock::now() + std::chrono::seconds(60);
   while (Clock::now() < until) {
     for (std::size_t i = 0; i < cluster.size(); ++i) {
       if (dead.contains(i)) continue;
       if (const auto line = cluster.process(i).WaitFor(kHolds, marks[i], milliseconds(0)))
-        return std::pair(i, cluster.process(i).When(line->first));
+        return {i, cluster.process(i).When(line->first)};
     }
     std::this_thread::sleep_for(milliseconds(5));
   }
-  return std::nullopt;
+  throw std::runtime_error("no member holds the lease");
 }
 
 double CallsPerSecond(const ShortWatches& discovery, std::chrono::seconds span) {
@@ -101,7 +103,6 @@
       Cluster cluster(size, Section(interval_ms, term_ms), ConfigJson(on_discovery.address(), {}),
                       Cluster::NoEdit, kVoters);
       auto holder = Holder(cluster, std::vector<std::size_t>(size, 0), {});
-      if (!holder) throw std::runtime_error("no member ever held the lease");
       std::this_thread::sleep_for(milliseconds(2 * term_ms));
       const std::uint64_t sent = cluster.Counted(0, "sent");
       const double on = CallsPerSecond(on_discovery, std::chrono::seconds(10));
@@ -109,12 +110,11 @@
       std::vector<double> handed;
       for (int i = 0; i < kills; ++i) {
         const auto marks = cluster.Marks();
-        const std::size_t victim = holder->first;
+        const std::size_t victim = holder.member;
         const auto killed = Clock::now();
         cluster.process(victim).Kill();
         holder = Holder(cluster, marks, {victim});
-        if (!holder) throw std::runtime_error("the duty was never passed on");
-        handed.push_back(Seconds(holder->second - killed));
+        handed.push_back(Seconds(holder.at - killed));
         cluster.Restart(victim);
         std::this_thread::sleep_for(milliseconds(2 * term_ms));  // until it may vote again
       }
