--- a/bench/recovery_time.cpp
+++ b/bench/recovery_time.cpp
@@ -132,12 +132,13 @@
   const auto ask = [&](std::chrono::seconds span) {
     const auto until = Clock::now() + span;
     Client client(member.clients);
-    while (Clock::now() < until) {
+    do {
       client.Ask(Look());
       std::this_thread::sleep_for(milliseconds(5));
-    }
+    } while (Clock::now() < until);
   };
-  ask(std::chrono::seconds(12));  // long enough for the backoff to grow
+  while (!member.process->WaitFor(" ejected: ", 0, milliseconds(1))) ask(std::chrono::seconds(0));
+  std::this_thread::sleep_for(milliseconds(300));  // until a snapshot has it
   fleet.Restart(0);
   const std::size_t before = bad.seen.Get().requests.size();
   ask(std::chrono::seconds(5));
--- a/bench/state_convergence.cpp
+++ b/bench/state_convergence.cpp
@@ -18,7 +18,7 @@
 struct Row {
   std::vector<double> taken;  // seconds, of each member but the writer and each verdict
   std::size_t missed = 0;     // members that did not take a verdict before its end
-  double bytes_per_second = 0;
+  std::vector<double> bytes_per_second;
 };
 
 // Three servers, of which the first fails in front of the first member only.
@@ -46,8 +46,8 @@
   throw std::runtime_error("the server was never ejected");
 }
 
-Row Measure(std::size_t size, int loss, int verdicts, int interval_ms) {
-  Row row;
+// One verdict in a fleet of its own: of a server's later ejections the log may leave some out.
+void Measure(std::size_t size, int loss, int interval_ms, Row* row) {
   const Servers servers;
   Cluster cluster(size, {{"probe_interval_ms", interval_ms}, {"sync_interval_ms", 10 * interval_ms}},
                   ConfigJson(Tcp::endpoint(kAnyPort.address(), 9), {}), std::cref(servers));
@@ -55,20 +55,15 @@
   cluster.Relay("FAULT * drop=" + std::to_string(loss / 100.0));
   const auto began = Clock::now();
   const double before = BytesSent(cluster, {});
-  for (int i = 0; i < verdicts; ++i) {
-    const auto marks = cluster.Marks();
-    const auto ejected = Eject(cluster);
-    for (std::size_t j = 1; j < size; ++j) {
-      const auto line =
-          cluster.process(j).WaitFor("verdict server=s-1 from=n1", marks[j], milliseconds(20000));
-      if (line)
-        row.taken.push_back(Seconds(cluster.process(j).When(line->first) - ejected));
-      else
-        ++row.missed;
-    }
+  const auto ejected = Eject(cluster);
+  for (std::size_t i = 1; i < size; ++i) {
+    const auto line = cluster.process(i).WaitFor("verdict server=s-1 from=n1", 0, milliseconds(20000));
+    if (line)
+      row->taken.push_back(Seconds(cluster.process(i).When(line->first) - ejected));
+    else
+      ++row->missed;
   }
-  row.bytes_per_second = (BytesSent(cluster, {}) - before) / Seconds(Clock::now() - began);
-  return row;
+  row->bytes_per_second.push_back((BytesSent(cluster, {}) - before) / Seconds(Clock::now() - began));
 }
 
 }  // namespace
@@ -80,7 +75,7 @@
   int verdicts = 5, interval_ms = 1000;
   app.add_option("--sizes", sizes)->delimiter(',');
   app.add_option("--losses", losses)->delimiter(',');
-  app.add_option("--verdicts", verdicts, "written one after another");
+  app.add_option("--verdicts", verdicts, "each in a fleet of its own");
   app.add_option("--interval", interval_ms, "probe interval, ms");
   CLI11_PARSE(app, argc, argv);
   std::printf("| members | loss %% | verdicts | taken p50 ms | p99 ms | most ms | missed | bytes/s |\n");
@@ -88,10 +83,11 @@
   try {
     for (const std::size_t size : sizes) {
       for (const int loss : losses) {
-        const Row row = Measure(size, loss, verdicts, interval_ms);
+        Row row;
+        for (int i = 0; i < verdicts; ++i) Measure(size, loss, interval_ms, &row);
         std::printf("| %zu | %d | %d | %.1f | %.1f | %.1f | %zu | %.0f |\n", size, loss, verdicts,
                     1000 * Quantile(row.taken, 0.5), 1000 * Quantile(row.taken, 0.99),
-                    1000 * Quantile(row.taken, 1), row.missed, row.bytes_per_second);
+                    1000 * Quantile(row.taken, 1), row.missed, Quantile(row.bytes_per_second, 0.5));
         std::fflush(stdout);
       }
     }
