--- a/bench/log_lines.cpp
+++ b/bench/log_lines.cpp
@@ -10,11 +10,11 @@
 #include <cstdio>
 #include <string>
 
-#include "log.h"
+#include "base/log.h"
 
 namespace {
 
-namespace log = brackenspoke::proxy::log;
+namespace log = brackenspoke::log;
 
 // As the module words a line of its own.
 const std::string kEvent = "server 17 ejected: 9 failures of 12, for 30000 ms";
--- a/src/proxy/descriptor.h
+++ b/src/base/descriptor.h
@@ -1,14 +1,14 @@
 // SPDX-License-Identifier: Apache-2.0
 //
 // A file descriptor and its owner.
-#ifndef BRACKENSPOKE_PROXY_DESCRIPTOR_H_
-#define BRACKENSPOKE_PROXY_DESCRIPTOR_H_
+#ifndef BRACKENSPOKE_BASE_DESCRIPTOR_H_
+#define BRACKENSPOKE_BASE_DESCRIPTOR_H_
 
 #include <unistd.h>
 
 #include <utility>
 
-namespace brackenspoke::proxy {
+namespace brackenspoke {
 
 class Descriptor {
  public:
@@ -33,6 +33,6 @@
   int fd_ = -1;
 };
 
-}  // namespace brackenspoke::proxy
+}  // namespace brackenspoke
 
-#endif  // BRACKENSPOKE_PROXY_DESCRIPTOR_H_
+#endif  // BRACKENSPOKE_BASE_DESCRIPTOR_H_
--- a/src/proxy/log.cpp
+++ b/src/base/log.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "log.h"
+#include "base/log.h"
 
 #include <spdlog/pattern_formatter.h>
 #include <spdlog/sinks/stdout_sinks.h>
@@ -8,7 +8,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 
-namespace brackenspoke::proxy::log {
+namespace brackenspoke::log {
 namespace {
 
 Format format_ = Format::kText;
@@ -91,4 +91,4 @@
   Logger().log(Of(level), spdlog::string_view_t(body.data(), body.size()));
 }
 
-}  // namespace brackenspoke::proxy::log
+}  // namespace brackenspoke::log
--- a/src/proxy/log.h
+++ b/src/base/log.h
@@ -4,15 +4,15 @@
 // (UTC, milliseconds), level, the process's name, the component that speaks, the event, and the request's id
 // where there is one. As text: `2026-12-01T21:00:00.123Z info n3 discovery: back`; as JSON, one object a line
 // with the keys time, level, name, component, event and request.
-#ifndef BRACKENSPOKE_PROXY_LOG_H_
-#define BRACKENSPOKE_PROXY_LOG_H_
+#ifndef BRACKENSPOKE_BASE_LOG_H_
+#define BRACKENSPOKE_BASE_LOG_H_
 
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
 
-namespace brackenspoke::proxy::log {
+namespace brackenspoke::log {
 
 enum class Format { kText, kJson };
 enum class Level { kInfo, kWarn, kError };
@@ -40,6 +40,6 @@
 std::string Body(Format format, std::string_view component, std::string_view event,
                  std::optional<std::uint64_t> request);
 
-}  // namespace brackenspoke::proxy::log
+}  // namespace brackenspoke::log
 
-#endif  // BRACKENSPOKE_PROXY_LOG_H_
+#endif  // BRACKENSPOKE_BASE_LOG_H_
--- a/src/fleet/lease.h
+++ b/src/fleet/lease.h
@@ -15,12 +15,11 @@
 #include <string_view>
 #include <vector>
 
+#include "base/time.h"
 #include "message.h"
 
 namespace brackenspoke::fleet {
 
-using Time = std::chrono::steady_clock::time_point;
-using Span = std::chrono::steady_clock::duration;
 using Token = std::uint64_t;  // larger is newer
 
 struct LeaseOptions {
--- a/src/fleet/membership.h
+++ b/src/fleet/membership.h
@@ -16,13 +16,11 @@
 #include <string_view>
 #include <vector>
 
+#include "base/time.h"
 #include "message.h"
 
 namespace brackenspoke::fleet {
 
-using Time = std::chrono::steady_clock::time_point;
-using Span = std::chrono::steady_clock::duration;
-
 inline constexpr int kMostHealth = 8;              // Lifeguard's S: the worst local health score
 inline constexpr int kConfirmations = 3;           // Lifeguard's K
 inline constexpr int kLongestSuspicion = 6;        // Lifeguard's beta: the longest over the shortest
--- a/src/fleet/message.cpp
+++ b/src/fleet/message.cpp
@@ -4,7 +4,7 @@
 #include <array>
 #include <stdexcept>
 
-#include "schema.h"
+#include "base/config/endpoint.h"
 
 namespace brackenspoke::fleet {
 namespace {
@@ -36,7 +36,7 @@
 }
 
 Udp::endpoint AddressIn(const json& value) {
-  const auto address = proxy::ParseUdpEndpoint(value.get<std::string>());
+  const auto address = ParseUdpEndpoint(value.get<std::string>());
   if (!address) throw std::invalid_argument("address");
   return *address;
 }
--- a/src/fleet/node.cpp
+++ b/src/fleet/node.cpp
@@ -8,14 +8,13 @@
 #include <cmath>
 #include <cstdio>
 
+#include "base/log.h"
 #include "brackenspoke/balancer.h"
-#include "log.h"
 
 namespace brackenspoke::fleet {
 namespace {
 
 namespace asio = boost::asio;
-namespace log = proxy::log;
 using Error = boost::system::error_code;
 using Steady = std::chrono::steady_clock;
 
@@ -28,7 +27,7 @@
   return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
 }
 
-MembershipOptions OptionsOf(const proxy::FleetSection& section, const std::string& name, std::uint64_t seed) {
+MembershipOptions OptionsOf(const FleetSection& section, const std::string& name, std::uint64_t seed) {
   MembershipOptions options;
   options.fleet = section.name;
   options.name = name;
@@ -45,7 +44,7 @@
   return options;
 }
 
-StateOptions StateOptionsOf(const proxy::FleetSection& section, const std::string& name) {
+StateOptions StateOptionsOf(const FleetSection& section, const std::string& name) {
   StateOptions options;
   options.name = name;
   options.verdicts = section.share_verdicts;
@@ -76,8 +75,8 @@
 
 }  // namespace
 
-Node::Node(asio::io_context& io, const proxy::FleetSection& section, const std::string& name,
-           std::uint64_t seed, Facts& facts)
+Node::Node(asio::io_context& io, const FleetSection& section, const std::string& name, std::uint64_t seed,
+           Facts& facts)
     : section_(section),
       socket_(io),
       timer_(io),
--- a/src/fleet/node.h
+++ b/src/fleet/node.h
@@ -14,9 +14,9 @@
 #include <optional>
 #include <string>
 
+#include "fleet/section.h"
 #include "lease.h"
 #include "membership.h"
-#include "schema.h"
 #include "state.h"
 
 namespace brackenspoke::fleet {
@@ -54,8 +54,8 @@
   // Joins at once, or, while another process holds the address (one that this one replaces), as soon as that
   // one leaves it. `name` is the member's, `seed` for random numbers. `facts` outlives this and is called
   // from the event loop only, never from within the constructor.
-  Node(boost::asio::io_context& io, const proxy::FleetSection& section, const std::string& name,
-       std::uint64_t seed, Facts& facts);
+  Node(boost::asio::io_context& io, const FleetSection& section, const std::string& name, std::uint64_t seed,
+       Facts& facts);
 
   void Leave();
   void Rejoin();
@@ -124,7 +124,7 @@
   void Arm();
   bool MaySend(std::size_t size);
 
-  const proxy::FleetSection section_;
+  const FleetSection section_;
   Udp::socket socket_;
   boost::asio::steady_timer timer_, again_, settle_;
   Facts& facts_;
--- a/src/proxy/schema.h
+++ b/src/fleet/section.h
@@ -1,18 +1,16 @@
 // SPDX-License-Identifier: Apache-2.0
 //
-// The configuration's own sections, checked key by key: `fleet` (membership among the processes of a fleet)
-// and `state` (where a process keeps what must outlive it). Every fault is found, not only the first.
-#ifndef BRACKENSPOKE_PROXY_SCHEMA_H_
-#define BRACKENSPOKE_PROXY_SCHEMA_H_
+// The configuration's section `fleet`: membership among the processes of a fleet, and what they share.
+#ifndef BRACKENSPOKE_FLEET_SECTION_H_
+#define BRACKENSPOKE_FLEET_SECTION_H_
 
 #include <boost/asio/ip/udp.hpp>
 #include <chrono>
 #include <nlohmann/json_fwd.hpp>
-#include <optional>
 #include <string>
 #include <vector>
 
-namespace brackenspoke::proxy {
+namespace brackenspoke::fleet {
 
 using Milliseconds = std::chrono::milliseconds;
 
@@ -39,28 +37,9 @@
   Milliseconds most_skew{500};      // that a member's wall clock may be ahead of another's
 };
 
-// `state`: absent, nothing is kept but the maintenance set, in $TMPDIR as before.
-struct StateSection {
-  bool on = false;
-  std::string dir;  // empty: $TMPDIR
-  Milliseconds snapshot_interval{5000};
-  Milliseconds max_age{60000};  // an older snapshot is not applied
-  Milliseconds peer_wait{
-      2000};  // with a fleet and no usable snapshot: for a peer's state, before it is ready
-};
-
-// "a.b.c.d:port", or "v6:port", which is what boost::asio prints with a colon between; nothing if it is
-// neither.
-std::optional<boost::asio::ip::udp::endpoint> ParseUdpEndpoint(const std::string& text);
-
-// Reads `fleet` and `state` of the file's root object. Appends one line per fault to `faults`: an unknown
-// key, a value of the wrong type, a figure out of range, an address that is none.
+// Reads `fleet` of the file's root object. Appends one line per fault to `faults`.
 FleetSection ReadFleet(const nlohmann::json& root, std::vector<std::string>* faults);
-StateSection ReadState(const nlohmann::json& root, std::vector<std::string>* faults);
-
-// Keys of the root object that no part of the program reads, one line each.
-std::vector<std::string> UnknownTopKeys(const nlohmann::json& root);
 
-}  // namespace brackenspoke::proxy
+}  // namespace brackenspoke::fleet
 
-#endif  // BRACKENSPOKE_PROXY_SCHEMA_H_
+#endif  // BRACKENSPOKE_FLEET_SECTION_H_
--- a/src/proxy/backends.cpp
+++ b/src/proxy/backends.cpp
@@ -14,8 +14,8 @@
 #include <optional>
 #include <utility>
 
+#include "base/log.h"
 #include "clock.h"
-#include "log.h"
 
 namespace brackenspoke::proxy {
 namespace {
--- a/src/proxy/config.cpp
+++ b/src/proxy/config.cpp
@@ -202,8 +202,8 @@
     config.known = std::move(*list);
   }
   std::vector<std::string> faults;
-  config.fleet = ReadFleet(root, &faults);
-  config.state = ReadState(root, &faults);
+  config.fleet = fleet::ReadFleet(root, &faults);
+  config.state = state::ReadState(root, &faults);
   const char* directory = config.state.dir.empty() ? env("TMPDIR") : config.state.dir.c_str();
   if (config.operators || config.state.on) config.state_path = StatePath(directory, config.listen);
   if (config.state.on && config.state_path.empty())
@@ -276,6 +276,15 @@
   return Reconfigure(ReadFile(env), current);
 }
 
+std::vector<std::string> UnknownTopKeys(const json& root) {
+  static const std::set<std::string> kKnown{"name",  "listen",   "discovery", "seed",  "limits",
+                                            "known", "settings", "ops",       "fleet", "state"};
+  std::vector<std::string> unknown;
+  for (const auto& [key, value] : root.items())
+    if (!kKnown.contains(key)) unknown.push_back(key + " is no known key");
+  return unknown;
+}
+
 std::vector<std::string> CheckConfig(const Environment& env) {
   std::vector<std::string> faults;
   try {
@@ -283,8 +292,8 @@
     const json root = json::parse(text, nullptr, /*allow_exceptions=*/false);
     if (root.is_object()) {
       faults = UnknownTopKeys(root);
-      ReadFleet(root, &faults);
-      ReadState(root, &faults);
+      fleet::ReadFleet(root, &faults);
+      state::ReadState(root, &faults);
       if (!faults.empty()) return faults;
     }
     ParseConfig(text, env);
--- a/src/proxy/config.h
+++ b/src/proxy/config.h
@@ -16,8 +16,9 @@
 #include <vector>
 
 #include "brackenspoke/balancer.h"
+#include "fleet/section.h"
 #include "members.h"
-#include "schema.h"
+#include "state/section.h"
 
 namespace brackenspoke::proxy {
 
@@ -41,8 +42,8 @@
   Duration connect_timeout{250};
   Duration conn_idle{15000};  // backends close what stands idle for this long
   MemberList known;
-  FleetSection fleet;
-  StateSection state;
+  fleet::FleetSection fleet;
+  state::StateSection state;
   std::shared_ptr<const nlohmann::json> file;  // without what is known
 };
 
@@ -61,6 +62,9 @@
 // Of the file that ROUTER_CONFIG names now.
 Config ReloadConfig(const Environment& env, const Config& current);
 
+// Keys of the root object that no part of the program reads, one line each.
+std::vector<std::string> UnknownTopKeys(const nlohmann::json& root);
+
 // Every fault of the file that ROUTER_CONFIG names, one line each, as a start would see it with `env`; empty
 // if it is fit to start with. Keys that no part reads are faults here, while a start only warns of them.
 std::vector<std::string> CheckConfig(const Environment& env);
--- a/src/proxy/discovery.cpp
+++ b/src/proxy/discovery.cpp
@@ -12,7 +12,7 @@
 #include <boost/beast/http/write.hpp>
 #include <utility>
 
-#include "log.h"
+#include "base/log.h"
 
 namespace brackenspoke::proxy {
 namespace {
--- a/src/proxy/main.cpp
+++ b/src/proxy/main.cpp
@@ -9,14 +9,14 @@
 #include <optional>
 #include <string>
 
+#include "base/log.h"
 #include "config.h"
-#include "log.h"
 #include "proxy.h"
 
 namespace {
 
 namespace proxy = brackenspoke::proxy;
-namespace log = brackenspoke::proxy::log;
+namespace log = brackenspoke::log;
 
 struct Options {
   std::optional<std::string> config;  // in place of ROUTER_CONFIG
--- a/src/proxy/maintenance.cpp
+++ b/src/proxy/maintenance.cpp
@@ -7,7 +7,7 @@
 #include <system_error>
 #include <utility>
 
-#include "log.h"
+#include "base/log.h"
 #include "state/snapshot.h"
 
 namespace brackenspoke::proxy {
--- a/src/proxy/operators.cpp
+++ b/src/proxy/operators.cpp
@@ -10,7 +10,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <utility>
 
-#include "log.h"
+#include "base/log.h"
 
 namespace brackenspoke::proxy {
 namespace {
--- a/src/proxy/operators.h
+++ b/src/proxy/operators.h
@@ -16,7 +16,7 @@
 #include <variant>
 #include <vector>
 
-#include "descriptor.h"
+#include "base/descriptor.h"
 
 namespace brackenspoke::proxy {
 
--- a/src/proxy/overlap.h
+++ b/src/proxy/overlap.h
@@ -12,7 +12,7 @@
 #include <functional>
 #include <string>
 
-#include "descriptor.h"
+#include "base/descriptor.h"
 
 namespace brackenspoke::proxy {
 
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -6,7 +6,7 @@
 #include <unordered_set>
 #include <utility>
 
-#include "log.h"
+#include "base/log.h"
 
 namespace brackenspoke::proxy {
 namespace {
--- a/src/state/keeper.cpp
+++ b/src/state/keeper.cpp
@@ -8,13 +8,11 @@
 #include <system_error>
 #include <utility>
 
-#include "log.h"
+#include "base/log.h"
 
 namespace brackenspoke::state {
 namespace {
 
-namespace log = proxy::log;
-
 UnixMs Now() {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
   return static_cast<UnixMs>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
--- /dev/null
+++ b/src/state/section.h
@@ -0,0 +1,30 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// The configuration's section `state`: where a process keeps what must outlive it.
+#ifndef BRACKENSPOKE_STATE_SECTION_H_
+#define BRACKENSPOKE_STATE_SECTION_H_
+
+#include <chrono>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <vector>
+
+namespace brackenspoke::state {
+
+using Milliseconds = std::chrono::milliseconds;
+
+// `state`: absent, nothing is kept but the maintenance set, in $TMPDIR as before.
+struct StateSection {
+  bool on = false;
+  std::string dir;  // empty: $TMPDIR
+  Milliseconds snapshot_interval{5000};
+  Milliseconds max_age{60000};   // an older snapshot is not applied
+  Milliseconds peer_wait{2000};  // with a fleet and no usable snapshot: for a peer's state, before /ready
+};
+
+// Reads `state` of the file's root object. Appends one line per fault to `faults`.
+StateSection ReadState(const nlohmann::json& root, std::vector<std::string>* faults);
+
+}  // namespace brackenspoke::state
+
+#endif  // BRACKENSPOKE_STATE_SECTION_H_
--- a/src/state/snapshot.cpp
+++ b/src/state/snapshot.cpp
@@ -14,7 +14,7 @@
 #include <fstream>
 #include <system_error>
 
-#include "descriptor.h"
+#include "base/descriptor.h"
 
 namespace brackenspoke::state {
 namespace {
@@ -113,7 +113,7 @@
   };
   // Two processes of one proxy may write at a time.
   const std::string fresh = path + ".new." + std::to_string(::getpid());
-  const proxy::Descriptor file(::open(fresh.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600));
+  const Descriptor file(::open(fresh.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600));
   if (!file) Fail(fresh);
   reached(Step::kBegun);
   WriteAll(file.get(), bytes, fresh);
@@ -125,7 +125,7 @@
   reached(Step::kSetAside);
   Rename(fresh, path);
   reached(Step::kRenamed);
-  const proxy::Descriptor folder(::open(FolderOf(path).c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
+  const Descriptor folder(::open(FolderOf(path).c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
   if (!folder) Fail(FolderOf(path));
   Sync(folder.get(), FolderOf(path));
   reached(Step::kDone);
--- a/tests/fleet/lease_test.cpp
+++ b/tests/fleet/lease_test.cpp
@@ -269,7 +269,8 @@
     void Send(const Udp::endpoint& to, const fl::LeaseMessage& message) override {
       table->posts.push_back({address, to, message});
     }
-    void OnRole(const std::string&, fl::Role role, fl::Token token, fl::Span, std::string_view) override {
+    void OnRole(const std::string&, fl::Role role, fl::Token token, brackenspoke::Span,
+                std::string_view) override {
       if (role == fl::Role::kHolder) tokens.push_back(token);
     }
     Table* table = nullptr;
@@ -313,7 +314,7 @@
     return 3;
   }
 
-  fl::Time now{std::chrono::hours(1)};
+  brackenspoke::Time now{std::chrono::hours(1)};
   std::deque<Post> posts;
   std::array<Seat, 3> seats;
 };
--- a/tests/fleet/membership_test.cpp
+++ b/tests/fleet/membership_test.cpp
@@ -207,7 +207,7 @@
     sent.push_back(message);
   }
   void Changed(const fl::Member&, std::optional<fl::MemberState>, std::string_view) override {}
-  void Stalled(fl::Span) override {}
+  void Stalled(brackenspoke::Span) override {}
   void Displaced(const Udp::endpoint&) override { displaced = true; }
   void Hear(fl::Update claim, Message::Kind kind = Message::Kind::kAck) {
     Message message;
@@ -217,7 +217,7 @@
     membership.Receive(now, message);
   }
 
-  fl::Time now;
+  brackenspoke::Time now;
   std::vector<Message> sent;
   bool displaced = false;
   fl::Membership membership;
@@ -269,7 +269,7 @@
   EXPECT_EQ(lone.membership.health(), 1);
   lone.Hear({"n1", Lone::At(9), fl::MemberState::kAlive, 20, ""});
   EXPECT_TRUE(lone.displaced);
-  EXPECT_EQ(lone.membership.Next(), fl::Time::max()) << "it is silent";
+  EXPECT_EQ(lone.membership.Next(), brackenspoke::Time::max()) << "it is silent";
 }
 
 TEST(Protocol, NewsArePassedOnABoundedNumberOfTimesInWholeDatagrams) {
--- a/tests/log_test.cpp
+++ b/tests/log_test.cpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 //
 // The form of the process's log lines, and lines from many threads at once.
-#include "log.h"
+#include "base/log.h"
 
 #include <gtest/gtest.h>
 #include <unistd.h>
@@ -20,13 +20,13 @@
 using nlohmann::json;
 
 TEST(LogLine, IsOneJsonObjectWithTheFixedFields) {
-  const std::string body = proxy::log::Body(proxy::log::Format::kJson, "discovery", "away: \"x\"\nnext", 7);
+  const std::string body = log::Body(log::Format::kJson, "discovery", "away: \"x\"\nnext", 7);
   const json parsed = json::parse("{" + body + "}");
   EXPECT_EQ(parsed["component"], "discovery");
   EXPECT_EQ(parsed["event"], "away: \"x\"\nnext");
   EXPECT_EQ(parsed["request"], 7);
   EXPECT_EQ(body.find('\n'), std::string::npos);
-  EXPECT_EQ(proxy::log::Body(proxy::log::Format::kText, "discovery", "a\nb", std::nullopt), "discovery: a b");
+  EXPECT_EQ(log::Body(log::Format::kText, "discovery", "a\nb", std::nullopt), "discovery: a b");
 }
 
 // Standard error is sent to a file while the threads log.
@@ -37,17 +37,17 @@
   std::FILE* file = std::fopen(path.c_str(), "w");
   ASSERT_NE(file, nullptr);
   dup2(fileno(file), STDERR_FILENO);
-  proxy::log::Start(proxy::log::Format::kJson, "n1");
+  log::Start(log::Format::kJson, "n1");
   constexpr int kThreads = 8, kEach = 2500;
   std::vector<std::thread> threads;
   for (int t = 0; t < kThreads; ++t)
     threads.emplace_back([t] {
       for (int i = 0; i < kEach; ++i)
-        proxy::log::Event(proxy::log::Level::kInfo, "test", std::string(64, static_cast<char>('a' + t)),
-                          static_cast<std::uint64_t>(i));
+        log::Event(log::Level::kInfo, "test", std::string(64, static_cast<char>('a' + t)),
+                   static_cast<std::uint64_t>(i));
     });
   for (std::thread& thread : threads) thread.join();
-  proxy::log::Start(proxy::log::Format::kText, "");
+  log::Start(log::Format::kText, "");
   std::fflush(stderr);
   dup2(saved, STDERR_FILENO);
   close(saved);
