Add budgets, buckets, messages and the gateway's account of quotas

The gateway's side of docs/federation.md, section Quota: a bucket in whole numbers that follows the draw in force or the floor, demand over two windows, asks, acknowledgements that lend the floor, and the form of all messages. Amounts are thousandths of a unit, so parts of a budget never add up to more than it.

--- /dev/null
+++ b/src/quota/messages.h
@@ -0,0 +1,92 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// What gateways and treasurers say to each other, on the channel `quota` of the federation pool. One datagram
+// carries what there is for many partners. Each message may be lost, repeated, late or out of order.
+#ifndef BRACKENSPOKE_QUOTA_MESSAGES_H_
+#define BRACKENSPOKE_QUOTA_MESSAGES_H_
+
+#include <compare>
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "base/error/failure.h"
+#include "quota/amount.h"
+
+namespace brackenspoke::quota {
+
+// Orders all draws of a duty: the treasurer's fencing token, and its count of draws.
+struct DrawId {
+  std::uint64_t token = 0;
+  std::uint64_t number = 0;
+  auto operator<=>(const DrawId&) const = default;
+};
+
+// A gateway has taken this draw in place of all before it, and keeps its floor put away for `away_ms` from
+// when it says so, by its own clock.
+struct Ack {
+  std::string partner;
+  DrawId draw;
+  std::uint64_t away_ms = 0;
+};
+
+// A gateway asks for a draw, and tells the draw that it has; `held.draw` is zero if it has none.
+struct Ask {
+  Ack held;          // its partner is the ask's
+  Milli demand = 0;  // a second
+  Milli least = 0;   // depth under which a draw is of no use: the largest cost met lately
+};
+
+// A treasurer hands out a part for `life_ms` from the moment of the ask `ask`.
+struct Draw {
+  std::string partner;
+  std::uint64_t ask = 0;
+  std::uint64_t number = 0;  // with the message's token: which draw this is
+  Part part;
+  std::uint64_t life_ms = 0;
+};
+
+// What the treasurer's budgets have as the gateway's floor.
+struct Floor {
+  std::string partner;
+  Part part;
+};
+
+// From a gateway to a treasurer.
+struct Request {
+  std::uint64_t life = 0;      // of the process: another one's draws are not its own
+  std::uint64_t revision = 0;  // of its budgets
+  std::uint64_t ask = 0;       // counts this life's requests; draws name it
+  std::vector<Ask> asks;
+  std::vector<Ack> acks;
+};
+
+// From a treasurer to a gateway.
+struct Answer {
+  std::uint64_t life = 0;  // of the request; of calls alone 0
+  std::uint64_t revision = 0;
+  std::uint64_t token = 0;
+  bool agreed = false;             // all gateways have told that they have the revision
+  std::vector<Draw> draws;         // none where the revisions differ
+  std::vector<std::string> calls;  // partners whose floor here is wanted elsewhere: the gateway is to ask
+  std::vector<Floor> floors;       // where the revisions differ
+};
+
+inline constexpr std::size_t kMostMessage = 1200;  // bytes of JSON text, and fewer of MessagePack
+inline constexpr std::size_t kMostPartner = 64;    // bytes of a partner's name
+
+// Objects with keys of one letter, lists for what repeats. From... check all: unknown keys, missing ones,
+// types, lengths and ranges; a failure is kBadMessage with `from` as its place.
+nlohmann::json ToJson(const Request& request);
+nlohmann::json ToJson(const Answer& answer);
+Result<Request> RequestFromJson(const nlohmann::json& json, const std::string& from);
+Result<Answer> AnswerFromJson(const nlohmann::json& json, const std::string& from);
+
+// The same in as many messages as are needed for each to stay within kMostMessage; none for an empty one.
+std::vector<Request> Split(const Request& request);
+std::vector<Answer> Split(const Answer& answer);
+
+}  // namespace brackenspoke::quota
+
+#endif  // BRACKENSPOKE_QUOTA_MESSAGES_H_
--- /dev/null
+++ b/src/quota/partner_account.h
@@ -0,0 +1,83 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// One partner's account at one gateway: the bucket, which follows the draw in force or the floor, and when to
+// ask for another draw.
+#ifndef BRACKENSPOKE_QUOTA_PARTNER_ACCOUNT_H_
+#define BRACKENSPOKE_QUOTA_PARTNER_ACCOUNT_H_
+
+#include <optional>
+
+#include "base/time.h"
+#include "quota/amount.h"
+#include "quota/bucket.h"
+#include "quota/budget.h"
+#include "quota/demand.h"
+#include "quota/messages.h"
+
+namespace brackenspoke::quota {
+
+// The floor is in force from `from` on wherever no draw is.
+struct FloorTerms {
+  Part part;  // in use
+  Part full;  // as the budgets have it; in use once all gateways have them
+  Time from;
+};
+
+class PartnerAccount {
+ public:
+  // With an empty bucket at `since`, from which on the floor's terms hold; `since` may be past.
+  PartnerAccount(Time since, const FloorTerms& floor, const Timings& timings);
+
+  // What is in force: a draw, the floor, or nothing.
+  enum class Source { kNone, kFloor, kDraw };
+
+  bool Charge(Time now, Milli cost);
+  void Credit(Time now, Time charged, Milli cost);
+  // Until `cost` would fit as things are; nothing where neither floor nor draw is to come.
+  std::optional<Span> Until(Time now, Milli cost);
+
+  // Takes a draw in place of what is in force, unless it is no newer than one that was taken, or has ended.
+  // From then on the floor is put away until the draw's end, also if another draw replaces it.
+  bool Take(Time now, const Draw& draw, const DrawId& id, Time until);
+  // The draw in force, for an ask or an ack; zero if there is none.
+  Ack Held(Time now) const;
+
+  // Other terms of the floor from `now` on. It stays put away as long as was promised.
+  void SetFloor(Time now, const Part& part, const Part& full);
+  void PutFloorAway(Time until) { floor_.from = std::max(floor_.from, until); }
+  const FloorTerms& floor() const { return floor_; }
+
+  // Whether it is time to ask. A shift of demand, up or down, is told at once; a gateway that has less than
+  // it needs asks each Timings::ask; one that has enough renews well before the end.
+  bool WantsToAsk(Time now);
+  // What the ask says. Counts as made.
+  Ask MakeAsk(Time now);
+  // The treasurer wants to be asked.
+  void Call() { called_ = true; }
+  // There is nothing to look after until the next charge or call.
+  bool Idle(Time now);
+
+  Source SourceAt(Time now) const;
+  Part InForce(Time now) const;
+  Milli Wanted(Time now) { return demand_.Estimate(now); }
+
+ private:
+  // Brings the bucket to `now` through the changes that came due.
+  void Settle(Time now);
+  void Follow(Time at);
+
+  const Timings* timings_;
+  FloorTerms floor_;
+  Part draw_;
+  DrawId id_;  // of the newest draw taken
+  Time draw_until_ = Time::min();
+  Bucket bucket_;
+  Demand demand_;
+  bool called_ = false;
+  Time asked_at_ = Time::min();
+  Milli asked_for_ = 0;
+};
+
+}  // namespace brackenspoke::quota
+
+#endif  // BRACKENSPOKE_QUOTA_PARTNER_ACCOUNT_H_
--- /dev/null
+++ b/tests/quota/bucket_test.cpp
@@ -0,0 +1,133 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "quota/bucket.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+#include <vector>
+
+#include "quota/budget.h"
+#include "quota/demand.h"
+
+namespace brackenspoke::quota {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::nanoseconds;
+
+Time At(std::int64_t ns) { return Time(nanoseconds(ns)); }
+
+TEST(Bucket, StartsEmptyAndFitsFromTheNanosecondOn) {
+  Bucket bucket(At(0));
+  bucket.Set(At(0), {3 * kOne, 2 * kOne});  // a request each 333,333,333 1/3 ns
+  EXPECT_FALSE(bucket.Charge(At(333'333'333), kOne));
+  EXPECT_EQ(bucket.Until(At(333'333'333), kOne), nanoseconds(1));
+  EXPECT_TRUE(bucket.Charge(At(333'333'334), kOne));
+  EXPECT_EQ(bucket.Until(At(333'333'334), 3 * kOne), std::nullopt);  // deeper than it is
+  EXPECT_TRUE(bucket.Charge(At(10'000'000'000), 2 * kOne));
+  EXPECT_FALSE(bucket.Charge(At(10'000'000'000), 1));
+  EXPECT_FALSE(bucket.Charge(At(0), 1));  // no time gained by an older moment
+}
+
+TEST(Bucket, LosesWhatIsOverANewDepth) {
+  Bucket bucket(At(0));
+  bucket.Set(At(0), {100 * kOne, 50 * kOne});
+  bucket.Set(At(1'000'000'000), {1 * kOne, 5 * kOne});
+  bucket.Set(At(1'000'000'000), {100 * kOne, 50 * kOne});
+  EXPECT_FALSE(bucket.Charge(At(1'000'000'000), 5 * kOne + 1));
+  EXPECT_TRUE(bucket.Charge(At(1'000'000'000), 5 * kOne));
+}
+
+struct Admitted {
+  std::int64_t at;
+  Milli cost;
+  bool credited = false;
+};
+
+// In each window that begins and ends with an admission, no more than the parts that were in force allow.
+// Credits, changes and charges are drawn at random; what was credited does not count.
+TEST(Bucket, NeverLetsAWindowOverItsRateAndDepthWhateverIsCreditedAndChanged) {
+  for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+    std::mt19937_64 random(seed);
+    const auto draw = [&](std::int64_t low, std::int64_t high) {
+      return std::uniform_int_distribution<std::int64_t>(low, high)(random);
+    };
+    // All parts are of one budget, so depth over rate is the same and the larger part bounds the window.
+    const Part part{draw(1, 50) * kOne, draw(1, 20) * kOne};
+    std::int64_t now = 0;
+    Bucket bucket(At(0));
+    bucket.Set(At(0), part);
+    std::vector<Admitted> admitted;
+    for (int i = 0; i < 400; ++i) {
+      now += draw(0, 1) ? draw(0, 200'000'000) : draw(0, 2'000'000);
+      const Milli cost = draw(1, 3) * kOne;
+      if (draw(0, 19) == 0) {
+        const std::int64_t tenths = draw(0, 10);
+        bucket.Set(At(now), {part.rate * tenths / 10, part.depth * tenths / 10});
+      }
+      if (bucket.Charge(At(now), cost)) admitted.push_back({now, cost});
+      if (!admitted.empty() && draw(0, 3) == 0) {
+        const auto back = std::min<std::int64_t>(draw(1, 10), std::ssize(admitted));
+        Admitted& one = admitted[admitted.size() - static_cast<std::size_t>(back)];
+        if (!one.credited) bucket.Credit(At(now), At(one.at), one.cost);
+        one.credited = true;
+      }
+    }
+    for (std::size_t i = 0; i < admitted.size(); ++i) {
+      Milli sum = 0;
+      for (std::size_t j = i; j < admitted.size(); ++j) {
+        if (!admitted[j].credited) sum += admitted[j].cost;
+        const std::int64_t bound = part.rate * (admitted[j].at - admitted[i].at) + part.depth * 1'000'000'000;
+        ASSERT_LE(sum * 1'000'000'000, bound) << "seed " << seed;
+      }
+    }
+  }
+}
+
+TEST(Bucket, TakesBackWhatABusyBucketWasCharged) {
+  Bucket bucket(At(0));
+  bucket.Set(At(0), {10 * kOne, 100 * kOne});
+  ASSERT_TRUE(bucket.Charge(At(1'000'000'000), 10 * kOne));
+  bucket.Credit(At(1'100'000'000), At(1'000'000'000), 10 * kOne);
+  EXPECT_TRUE(bucket.Charge(At(1'100'000'000), 11 * kOne));
+}
+
+TEST(Amounts, PartsOfABudgetNeverAddUpToMoreThanIt) {
+  Budget budget{7 * kOne, 5 * kOne, Unit::kRequests, Over::kMark, {{"muc", 2 * kOne}}};
+  Part sum;
+  for (int i = 0; i < 3; ++i) sum = sum + PartOf(budget, budget.rate / 3);
+  EXPECT_LE(sum.rate, budget.rate);
+  EXPECT_LE(sum.depth, budget.burst);
+  EXPECT_EQ(FloorOf(budget, "muc", 3).rate, 666);
+  EXPECT_EQ(FloorOf(budget, "aug", 3), Part{});
+  // 100 ms of 2 x 3 s, rounded away from the bound.
+  EXPECT_EQ(SlowedRate(6000, Timings{}), 6000 - 101);
+}
+
+// By steady Poisson traffic the estimate is near; a shift shows within 200 ms.
+TEST(Demand, IsQuietWhileSteadyAndNoticesAShiftWithin200Ms) {
+  for (const auto& [before, after] : std::vector<std::pair<int, int>>{{200, 1000}, {1000, 0}, {1000, 300}}) {
+    std::mt19937_64 random(7);
+    Demand demand;
+    std::int64_t now = 0;
+    const auto run = [&](int per_s, std::int64_t until) {
+      while (per_s > 0) {
+        now += static_cast<std::int64_t>(std::exponential_distribution<>(per_s)(random) * 1e9);
+        if (now >= until) break;
+        demand.Add(At(now), kOne);
+      }
+      now = until;
+    };
+    for (std::int64_t s = 1; s <= 20; ++s) {
+      run(before, s * 1'000'000'000);
+      EXPECT_NEAR(static_cast<double>(demand.Estimate(At(now))), before * 1000.0, before * 300.0);
+    }
+    run(after, now + 200'000'000);
+    EXPECT_NEAR(static_cast<double>(demand.Estimate(At(now))), after * 1000.0, after * 350.0);
+    run(0, now + 1'050'000'000);
+    EXPECT_EQ(demand.Estimate(At(now)), 0);
+  }
+}
+
+}  // namespace
+}  // namespace brackenspoke::quota
