Add the decision module for spilling to neighbour sites

A site counts as a spiller unless its own estimate says that it has not been over capacity for staleness and skew, and its gateways wait as long before they spill: so shares go to those that need them, and a herd still never sends more than a neighbour's offer and one request a gateway.

--- /dev/null
+++ b/src/spill/ambassador.h
@@ -0,0 +1,73 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// The site's ambassador: sums what the members could still take and makes the site's estimate. Exclusive: an
+// estimate is made under a lease's guard only, and carries its token.
+#ifndef BRACKENSPOKE_SPILL_AMBASSADOR_H_
+#define BRACKENSPOKE_SPILL_AMBASSADOR_H_
+
+#include <concepts>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "base/time.h"
+#include "spill/estimate.h"
+#include "spill/hysteresis.h"
+#include "spill/options.h"
+
+namespace brackenspoke::spill {
+
+// What one proxy's module would still let through of further own traffic, as Estimate has it: work spilled to
+// it by others is not taken off.
+struct MemberSpare {
+  double mean = 0, low = 0;  // ms of hinted work a second
+  Milliseconds wait{0};
+};
+
+// A lease's guard at the act: fleet/lease/guard.h.
+template <typename T>
+concept Guard = requires(const T& guard, Time now) {
+  { guard.Holds(now) } -> std::convertible_to<bool>;
+  { guard.token() } -> std::convertible_to<std::uint64_t>;
+};
+
+// One term of office: made anew whenever the duty is taken up, so that no state is claimed to have held under
+// a predecessor, whose last estimates this member may not have heard.
+class Ambassador {
+ public:
+  // The site is over capacity after its lower bound has been zero for `kZeroFor`, and no longer after it has
+  // been more for `kSpareFor`.
+  static constexpr Milliseconds kZeroFor{1000}, kSpareFor{2000};
+
+  Ambassador(Options options, std::string site);
+
+  // A member of the site, this one among them, has told its spare.
+  void Heard(Time now, const std::string& member, const MemberSpare& spare);
+  // A member has left or is dead.
+  void Gone(const std::string& member) { members_.erase(member); }
+
+  // The sum now, or nothing if the lease does not hold. Members silent past staleness count as zero. To be
+  // called every `estimate_interval`; `wall` in Unix ms.
+  template <Guard LeaseGuard>
+  std::optional<Estimate> Make(Time now, UnixMs wall, const LeaseGuard& guard) {
+    if (!guard.Holds(now)) return std::nullopt;
+    return Sum(now, wall, guard.token());
+  }
+
+ private:
+  struct Told {
+    MemberSpare spare;
+    Time at{};
+  };
+  Estimate Sum(Time now, UnixMs wall, std::uint64_t token);
+
+  const Options options_;
+  const std::string site_;
+  std::map<std::string, Told> members_;
+  Hysteresis over_{kZeroFor, kSpareFor};
+};
+
+}  // namespace brackenspoke::spill
+
+#endif  // BRACKENSPOKE_SPILL_AMBASSADOR_H_
--- /dev/null
+++ b/src/spill/hysteresis.h
@@ -0,0 +1,47 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Whether a site is over capacity: it becomes so only after its spare has been zero for a while without a
+// break, and ceases only after there has been some for a while.
+#ifndef BRACKENSPOKE_SPILL_HYSTERESIS_H_
+#define BRACKENSPOKE_SPILL_HYSTERESIS_H_
+
+#include <optional>
+
+#include "base/time.h"
+
+namespace brackenspoke::spill {
+
+class Hysteresis {
+ public:
+  Hysteresis(Span zero_for, Span spare_for) : zero_for_(zero_for), spare_for_(spare_for) {}
+
+  // What the spare is now. The first call sets the state at once.
+  void See(Time now, bool zero) {
+    if (!since_) {
+      over_ = zero;
+      since_ = now;
+    }
+    if (zero == over_) {
+      differs_since_.reset();
+      return;
+    }
+    if (!differs_since_) differs_since_ = now;
+    if (now - *differs_since_ < (zero ? zero_for_ : spare_for_)) return;
+    over_ = zero;
+    since_ = now;
+    differs_since_.reset();
+  }
+
+  bool over() const { return over_; }
+  // How long the state has been as it is.
+  Span Held(Time now) const { return since_ ? now - *since_ : Span::zero(); }
+
+ private:
+  Span zero_for_, spare_for_;
+  bool over_ = false;
+  std::optional<Time> since_, differs_since_;
+};
+
+}  // namespace brackenspoke::spill
+
+#endif  // BRACKENSPOKE_SPILL_HYSTERESIS_H_
--- /dev/null
+++ b/src/spill/options.h
@@ -0,0 +1,44 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// What spilling is set to, and who may take part in it.
+#ifndef BRACKENSPOKE_SPILL_OPTIONS_H_
+#define BRACKENSPOKE_SPILL_OPTIONS_H_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <chrono>
+#include <cstddef>
+#include <map>
+#include <string>
+
+namespace brackenspoke::spill {
+
+using Milliseconds = std::chrono::milliseconds;
+
+// Keys, units and ranges of the section are in docs/configuration.md.
+struct Options {
+  double most_part = 0.5;               // of a neighbour's spare that all spillers together may take
+  Milliseconds estimate_interval{500};  // between two estimates of a site
+  Milliseconds staleness{3000};         // an estimate as old as this counts as zero
+  Milliseconds way{20};                 // from a gateway to one of another site
+  double least_worth_per_work = 0;  // of a request, worth over ms of hinted work; under it none is spilled
+  Milliseconds slack{50};           // depth of a share: so long's worth of its rate
+  Milliseconds key_ttl{4000};       // how long a key stays with its neighbour
+  Milliseconds most_skew{500};      // between two machines' wall clocks
+
+  // How long a site's being over capacity, or not, must have held before others or its own gateways act on
+  // it: any estimate that says otherwise counts no longer by then. See Estimate::over.
+  Milliseconds settle() const { return staleness + most_skew; }
+};
+
+struct Gateway {
+  boost::asio::ip::udp::endpoint pool;     // as a member of the federation pool
+  boost::asio::ip::tcp::endpoint clients;  // where it takes requests, spilled ones too
+};
+
+// Site, then gateway, as configured at all gateways alike.
+using Directory = std::map<std::string, std::map<std::string, Gateway>>;
+
+}  // namespace brackenspoke::spill
+
+#endif  // BRACKENSPOKE_SPILL_OPTIONS_H_
--- /dev/null
+++ b/src/spill/share.h
@@ -0,0 +1,56 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// This gateway's share of what a neighbour site offers: a token bucket of hinted work (ms). Over any window W
+// it lets through at most rate x W + max(depth, the largest request).
+#ifndef BRACKENSPOKE_SPILL_SHARE_H_
+#define BRACKENSPOKE_SPILL_SHARE_H_
+
+#include <algorithm>
+#include <chrono>
+
+#include "base/time.h"
+
+namespace brackenspoke::spill {
+
+class Share {
+ public:
+  // It starts empty at `now`, with a rate of zero.
+  explicit Share(Time now) : at_(now) {}
+
+  // From `now` on: ms of hinted work a second, and the most that may gather, ms of hinted work. What gathered
+  // since the last call did so at the smaller of both rates; what is over the new depth is cut at once.
+  void Set(Time now, double rate, double depth) {
+    Advance(now, std::min(rate, rate_));
+    rate_ = rate;
+    depth_ = depth;
+    level_ = std::min(level_, depth_);
+  }
+
+  // Whether a request of so much work may go now: it is there, or the bucket is full and the request larger
+  // than it, so that its debt is paid off before the next.
+  bool Has(Time now, double work) {
+    Advance(now, rate_);
+    return depth_ > 0 && level_ >= std::min(work, depth_);
+  }
+  // Takes it; only after Has.
+  void Take(double work) { level_ -= work; }
+
+  // ms of hinted work; under zero while a debt is paid off.
+  double level() const { return level_; }
+  double rate() const { return rate_; }
+
+ private:
+  void Advance(Time now, double rate) {
+    const std::chrono::duration<double> passed = now - at_;
+    if (passed.count() <= 0) return;
+    at_ = now;
+    level_ = std::min(level_ + rate * passed.count(), depth_);
+  }
+
+  Time at_;
+  double rate_ = 0, depth_ = 0, level_ = 0;
+};
+
+}  // namespace brackenspoke::spill
+
+#endif  // BRACKENSPOKE_SPILL_SHARE_H_
--- /dev/null
+++ b/tests/spill/estimate_test.cpp
@@ -0,0 +1,131 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "spill/estimate.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+#include "bed.h"
+#include "spill/ambassador.h"
+#include "spill/failures.h"
+#include "spill/section.h"
+
+namespace brackenspoke::spill {
+namespace {
+
+using nlohmann::json;
+
+TEST(Estimate, JsonIsReadBackAndAnythingElseRefused) {
+  const Estimate estimate{"b", 4, kWall, 900, 700, 12, 3, false, 4000};
+  EXPECT_EQ(FromJson(ToJson(estimate)).value(), estimate);
+  const json good = ToJson(estimate);
+  for (const auto& [key, value] : good.items()) {
+    for (const json& wrong : {json(-1), json(1.5), json("x" + std::string(64, 'x')), json(), json::array()}) {
+      json changed = good;
+      changed[key] = wrong;
+      EXPECT_EQ(&FromJson(changed).error().kind(), &kBadEstimate) << changed;
+    }
+    json missing = good;
+    missing.erase(key);
+    EXPECT_FALSE(FromJson(missing)) << missing;
+  }
+  for (const json& wrong : {json{{"low", 901}}, json{{"over", true}}, json{{"more", 1}}}) {
+    json changed = good;
+    changed.update(wrong);
+    EXPECT_FALSE(FromJson(changed)) << changed;
+  }
+  EXPECT_FALSE(FromJson(json::array()));
+}
+
+TEST(Estimate, CountsWholeThenLessThenNothing) {
+  const Options options;
+  const std::pair<int, double> kTable[] = {{0, 1}, {500, 1}, {1750, 0.5}, {3000, 0}, {90000, 0}};
+  for (const auto& [age, part] : kTable) {
+    EXPECT_DOUBLE_EQ(Decay(Milliseconds(age), options), part);
+    Estimates estimates(options, Sites(2, 1));
+    ASSERT_TRUE(estimates.Hear(kStart, kWall + static_cast<UnixMs>(age), Spare("b", 1000)));
+    EXPECT_DOUBLE_EQ(estimates.Offer(kStart, "b"), 500 * part) << "late by " << age;
+    EXPECT_DOUBLE_EQ(estimates.Offer(kStart + Milliseconds(3000), "b"), 0);
+    EXPECT_EQ(estimates.Quiet(kStart, "b"), part > 0);
+  }
+}
+
+TEST(Estimate, OfferIsAPartOfTheMeanAndNeverOverTheLowerBound) {
+  Estimates estimates(Options{}, Sites(2, 1));
+  Estimate estimate = Spare("b", 1000);
+  estimate.low = 300;
+  ASSERT_TRUE(estimates.Hear(kStart, kWall, estimate));
+  EXPECT_DOUBLE_EQ(estimates.Offer(kStart, "b"), 300);
+  EXPECT_DOUBLE_EQ(estimates.Offer(kStart, "c"), 0);
+}
+
+TEST(Estimate, IsTakenOnlyIfNewerAndOfNoSmallerToken) {
+  const auto with = [](std::uint64_t token, std::int64_t ms, const char* site = "b") {
+    Estimate estimate = Spare(site, 100);
+    estimate.token = token;
+    estimate.made_at += static_cast<UnixMs>(ms);
+    return estimate;
+  };
+  Estimates estimates(Options{}, Sites(2, 1));
+  EXPECT_TRUE(estimates.Hear(kStart, kWall, with(5, 0)).value());
+  EXPECT_FALSE(estimates.Hear(kStart, kWall, with(5, 0)).value());
+  EXPECT_FALSE(estimates.Hear(kStart, kWall, with(5, -10)).value());
+  EXPECT_EQ(&estimates.Hear(kStart, kWall, with(4, 10)).error().kind(), &kFencedEstimate);
+  EXPECT_EQ(&estimates.Hear(kStart, kWall, with(5, 501)).error().kind(), &kFutureEstimate);
+  EXPECT_EQ(&estimates.Hear(kStart, kWall, with(5, 0, "z")).error().kind(), &kUnknownSite);
+  EXPECT_TRUE(estimates.Hear(kStart, kWall, with(5, 500)).value());
+  EXPECT_TRUE(estimates.Hear(kStart, kWall, with(6, -10)).value());
+}
+
+struct Lease {
+  bool holds = true;
+  bool Holds(Time) const { return holds; }
+  std::uint64_t token() const { return 9; }
+};
+
+TEST(Ambassador, SumsMembersThatAreHeardAndNothingWithoutItsLease) {
+  Ambassador ambassador(Options{}, "b");
+  ambassador.Heard(kStart, "1", {100, 60, Milliseconds(4)});
+  ambassador.Heard(kStart + Milliseconds(2000), "2", {30, 50, Milliseconds(9)});
+  EXPECT_FALSE(ambassador.Make(kStart, kWall, Lease{false}));
+  EXPECT_EQ(ambassador.Make(kStart + Milliseconds(2999), kWall, Lease{}),
+            (Estimate{"b", 9, kWall, 130, 90, 9, 2, false, 0}));
+  EXPECT_EQ(ambassador.Make(kStart + Milliseconds(3000), kWall, Lease{})->mean, 30u);
+  ambassador.Gone("2");
+  EXPECT_EQ(ambassador.Make(kStart + Milliseconds(3000), kWall, Lease{})->members, 0u);
+}
+
+TEST(Ambassador, IsOverOnlyAfterSpareWasZeroForAWhileAndBackAfterSomeForAWhile) {
+  Ambassador ambassador(Options{}, "b");
+  // At ms, with this spare: over, and for how long it says so.
+  const std::tuple<int, double, bool, std::uint64_t> kTable[] = {
+      {0, 50, false, 0},      {500, 0, false, 500},   {1000, 50, false, 1000}, {1500, 0, false, 1500},
+      {2499, 0, false, 2499}, {2500, 0, true, 0},     {3000, 50, true, 500},   {4000, 0, true, 1500},
+      {5000, 50, true, 2500}, {6999, 50, true, 4499}, {7000, 50, false, 0},    {8000, 50, false, 1000}};
+  for (const auto& [ms, spare, over, held] : kTable) {
+    const Time now = kStart + Milliseconds(ms);
+    ambassador.Heard(now, "1", {spare, spare, {}});
+    const auto estimate = ambassador.Make(now, kWall, Lease{});
+    EXPECT_EQ(std::pair(estimate->over, estimate->for_ms), std::pair(over, held)) << ms;
+    EXPECT_EQ(estimate->mean, over ? 0 : static_cast<std::uint64_t>(spare)) << ms;
+  }
+}
+
+TEST(SpillSection, NamesEachFault) {
+  const auto faults = [](const json& spill, const Directory& sites, int lease) {
+    std::vector<std::string> found;
+    CheckSpill(ReadSpill({{"spill", spill}}, &found), sites, "a", Milliseconds(lease), &found);
+    return found;
+  };
+  using Faults = std::vector<std::string>;
+  EXPECT_EQ(faults(nullptr, {}, 0), Faults{});
+  EXPECT_EQ(faults(json::object(), Sites(2, 1), 3000), Faults{});
+  EXPECT_EQ(faults(json::object(), {}, 3000), Faults{"spill needs the section sites"});
+  EXPECT_EQ(faults(json::object(), Sites(1, 1), 0).size(), 2u);
+  EXPECT_EQ(faults({{"most_part", 1.5}, {"part", 1}, {"staleness_ms", 900}}, Sites(2, 1), 3000).size(), 3u);
+  std::vector<std::string> none;
+  EXPECT_EQ(ReadSpill({{"spill", {{"most_part", 0.25}, {"slack_ms", 80}}}}, &none).options.slack.count(), 80);
+}
+
+}  // namespace
+}  // namespace brackenspoke::spill
