Move the fleet's parts into a folder each, and its wire form apart from its messages

Moves only. src/fleet/membership, node, state and wire take the files of their names; message.cpp becomes message (types and names), encode, decode and size. Includes are rooted at src. src/fleet/message.h stays until the leases have moved, since they include it by that name.

--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership/membership.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "membership.h"
+#include "fleet/membership/membership.h"
 
 #include <xxhash.h>
 
@@ -7,6 +7,8 @@
 #include <cmath>
 #include <utility>
 
+#include "fleet/wire/codec.h"
+
 namespace brackenspoke::fleet {
 namespace {
 
--- a/src/fleet/membership.h
+++ b/src/fleet/membership/membership.h
@@ -3,8 +3,8 @@
 // Who is present: SWIM (Das, Gupta, Motivala: "SWIM: Scalable Weakly-consistent Infection-style Process Group
 // Membership Protocol", 2002) with the refinements of Lifeguard (Dadgar, Phillips, Currey, 2018). Owns no
 // socket and no clock: time and messages come in, messages and changes go out. Bounds are in docs/fleet.md.
-#ifndef BRACKENSPOKE_FLEET_MEMBERSHIP_H_
-#define BRACKENSPOKE_FLEET_MEMBERSHIP_H_
+#ifndef BRACKENSPOKE_FLEET_MEMBERSHIP_MEMBERSHIP_H_
+#define BRACKENSPOKE_FLEET_MEMBERSHIP_MEMBERSHIP_H_
 
 #include <chrono>
 #include <cstdint>
@@ -17,7 +17,7 @@
 #include <vector>
 
 #include "base/time.h"
-#include "message.h"
+#include "fleet/wire/message.h"
 
 namespace brackenspoke::fleet {
 
@@ -178,4 +178,4 @@
 
 }  // namespace brackenspoke::fleet
 
-#endif  // BRACKENSPOKE_FLEET_MEMBERSHIP_H_
+#endif  // BRACKENSPOKE_FLEET_MEMBERSHIP_MEMBERSHIP_H_
--- a/src/fleet/message.h
+++ b/src/fleet/message.h
@@ -1,83 +1,9 @@
 // SPDX-License-Identifier: Apache-2.0
 //
-// What members of a fleet say to each other: one MessagePack map a datagram, with the protocol's version and
-// the fleet's name. Whatever is not such a map, whole and within the size, is dropped with a reason.
+// The messages by the place where src/fleet/lease.h looks for them.
 #ifndef BRACKENSPOKE_FLEET_MESSAGE_H_
 #define BRACKENSPOKE_FLEET_MESSAGE_H_
 
-#include <boost/asio/ip/udp.hpp>
-#include <cstdint>
-#include <nlohmann/json.hpp>
-#include <optional>
-#include <span>
-#include <string>
-#include <string_view>
-#include <variant>
-#include <vector>
-
-namespace brackenspoke::fleet {
-
-using Udp = boost::asio::ip::udp;
-
-inline constexpr std::size_t kMostDatagram = 1400;  // bytes; within one frame of an ordinary network
-inline constexpr std::size_t kMostName = 64;        // bytes of a member's name
-inline constexpr int kProtocolVersion = 1;
-
-enum class MemberState { kAlive, kSuspect, kDead, kLeft };
-std::string_view Name(MemberState state);
-
-// A claim about a member. `accuser` is who suspects, of kSuspect alone.
-struct Update {
-  std::string name;
-  Udp::endpoint address;  // where the member is reached
-  MemberState state = MemberState::kAlive;
-  std::uint64_t incarnation = 0;
-  std::string accuser;
-};
-
-// Of a lease: a candidate asks, a voter grants or denies, a holder or candidate gives back.
-struct LeaseMessage {
-  enum class Verb { kAsk, kGrant, kDeny, kRelease };
-  Verb verb = Verb::kAsk;
-  std::string duty;
-  std::uint64_t token = 0;    // asked for, granted, given back; of kDeny the largest that the voter knows
-  std::string holder;         // who asks
-  std::uint64_t left_ms = 0;  // of kDeny: until the voter may grant
-  std::uint64_t asked = 0;    // of kDeny: what was asked for
-};
-
-struct Message {
-  // SWIM's ping, ping-req and ack, Lifeguard's nack, the exchange of whole tables, shared state alone,
-  // and leases.
-  enum class Kind { kPing, kPingReq, kAck, kNack, kSync, kState, kLease };
-  Kind kind = Kind::kPing;
-  Update sender;               // as it sees itself: alive, or left
-  std::uint64_t sequence = 0;  // of the probe that this belongs to
-  std::string target;          // who is pinged, or is to be
-  Udp::endpoint target_address;
-  bool reply = false;  // of kSync: the receiver is to send its table, too, if it differs
-  std::vector<Update> updates;
-  nlohmann::json state;  // SharedState's entries; null: none
-  // Of kSync: digests of who is present, and of the shared state, as the sender holds them.
-  std::uint64_t table = 0, digest = 0;
-  std::optional<LeaseMessage> lease;  // of kLease
-};
-
-// Why a datagram was dropped.
-enum class Drop { kMalformed, kOversized, kForeignFleet, kOtherVersion };
-inline constexpr int kDrops = 4;
-std::string_view Name(Drop drop);
-
-// At most kMostDatagram bytes, if the updates were taken by RoomFor.
-std::vector<std::uint8_t> Encode(std::string_view fleet, const Message& message);
-std::variant<Message, Drop> Decode(std::string_view fleet, std::span<const std::uint8_t> datagram);
-
-// Bytes that an update takes in a message, at most; and those that a message has for updates.
-std::size_t SizeOf(const Update& update);
-std::size_t RoomFor(std::string_view fleet, const Message& message);
-
-std::string Text(const Udp::endpoint& address);  // host:port
-
-}  // namespace brackenspoke::fleet
+#include "fleet/wire/codec.h"
 
 #endif  // BRACKENSPOKE_FLEET_MESSAGE_H_
--- a/src/fleet/node.cpp
+++ b/src/fleet/node/node.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "node.h"
+#include "fleet/node/node.h"
 
 #include <spdlog/fmt/fmt.h>
 
@@ -10,6 +10,7 @@
 
 #include "base/log.h"
 #include "brackenspoke/balancer.h"
+#include "fleet/wire/codec.h"
 
 namespace brackenspoke::fleet {
 namespace {
--- a/src/fleet/node.h
+++ b/src/fleet/node/node.h
@@ -3,8 +3,8 @@
 // This process as a member of its fleet: the UDP socket, the timer, the counts of what was dropped, and the
 // log lines of every change. Membership itself is in membership.h; nothing here bears on where a request
 // goes.
-#ifndef BRACKENSPOKE_FLEET_NODE_H_
-#define BRACKENSPOKE_FLEET_NODE_H_
+#ifndef BRACKENSPOKE_FLEET_NODE_NODE_H_
+#define BRACKENSPOKE_FLEET_NODE_NODE_H_
 
 #include <array>
 #include <boost/asio/io_context.hpp>
@@ -14,10 +14,10 @@
 #include <optional>
 #include <string>
 
+#include "fleet/lease.h"
+#include "fleet/membership/membership.h"
 #include "fleet/section.h"
-#include "lease.h"
-#include "membership.h"
-#include "state.h"
+#include "fleet/state/state.h"
 
 namespace brackenspoke::fleet {
 
@@ -153,4 +153,4 @@
 
 }  // namespace brackenspoke::fleet
 
-#endif  // BRACKENSPOKE_FLEET_NODE_H_
+#endif  // BRACKENSPOKE_FLEET_NODE_NODE_H_
--- a/src/fleet/hybrid_clock.h
+++ b/src/fleet/state/hybrid_clock.h
@@ -2,8 +2,8 @@
 //
 // A hybrid logical clock (Kulkarni, Demirbas, Madeppa, Avva, Leone: "Logical Physical Clocks", 2014): stamps
 // that follow causes and stay near the wall clock.
-#ifndef BRACKENSPOKE_FLEET_HYBRID_CLOCK_H_
-#define BRACKENSPOKE_FLEET_HYBRID_CLOCK_H_
+#ifndef BRACKENSPOKE_FLEET_STATE_HYBRID_CLOCK_H_
+#define BRACKENSPOKE_FLEET_STATE_HYBRID_CLOCK_H_
 
 #include <algorithm>
 #include <cstdint>
@@ -28,4 +28,4 @@
 
 }  // namespace brackenspoke::fleet
 
-#endif  // BRACKENSPOKE_FLEET_HYBRID_CLOCK_H_
+#endif  // BRACKENSPOKE_FLEET_STATE_HYBRID_CLOCK_H_
--- a/src/fleet/state.cpp
+++ b/src/fleet/state/state.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "state.h"
+#include "fleet/state/state.h"
 
 #include <xxhash.h>
 
--- a/src/fleet/state.h
+++ b/src/fleet/state/state.h
@@ -4,8 +4,8 @@
 // where digests differ, whole (Almeida, Shoker, Baquero: "Delta state replicated data types", 2018). Owns no
 // socket and no clock; times are Unix milliseconds, since they are compared between machines. Bounds are in
 // docs/fleet.md.
-#ifndef BRACKENSPOKE_FLEET_STATE_H_
-#define BRACKENSPOKE_FLEET_STATE_H_
+#ifndef BRACKENSPOKE_FLEET_STATE_STATE_H_
+#define BRACKENSPOKE_FLEET_STATE_STATE_H_
 
 #include <array>
 #include <cstdint>
@@ -18,7 +18,7 @@
 #include <variant>
 #include <vector>
 
-#include "hybrid_clock.h"
+#include "fleet/state/hybrid_clock.h"
 
 namespace brackenspoke::fleet {
 
@@ -144,4 +144,4 @@
 
 }  // namespace brackenspoke::fleet
 
-#endif  // BRACKENSPOKE_FLEET_STATE_H_
+#endif  // BRACKENSPOKE_FLEET_STATE_STATE_H_
--- a/src/fleet/message.cpp
+++ b/src/fleet/wire/decode.cpp
@@ -1,31 +1,14 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "message.h"
-
-#include <array>
 #include <stdexcept>
 
 #include "base/config/endpoint.h"
+#include "fleet/wire/codec.h"
 
 namespace brackenspoke::fleet {
 namespace {
 
 using nlohmann::json;
 
-constexpr std::array<std::string_view, 4> kStates{"alive", "suspect", "dead", "left"};
-constexpr std::array<std::string_view, kDrops> kDropNames{"malformed", "oversized", "foreign", "version"};
-constexpr int kKinds = 7;
-// Bytes of MessagePack beside the texts: of an update (its array, three texts, the state, the incarnation),
-// and of the rest of a message (a map of twelve one-letter keys with their values).
-constexpr std::size_t kUpdateBytes = 1 + 3 * 2 + 1 + 9;
-constexpr std::size_t kMessageBytes = 1 + 12 * 2 + 3 * 1 + 3 * 9 + 3 * 2 + 3;
-
-json Pack(const Update& update) {
-  json packed =
-      json::array({update.name, Text(update.address), static_cast<int>(update.state), update.incarnation});
-  if (!update.accuser.empty()) packed.push_back(update.accuser);
-  return packed;
-}
-
 // What follows throws json::exception or std::invalid_argument on anything out of form.
 std::string NameIn(const json& value) {
   auto name = value.get<std::string>();
@@ -57,7 +40,7 @@
   Update update;
   update.name = NameIn(value.at(0));
   update.address = AddressIn(value.at(1));
-  update.state = OneOf<MemberState>(value.at(2), kStates.size());
+  update.state = OneOf<MemberState>(value.at(2), kStates);
   update.incarnation = FigureIn(value.at(3));
   if (value.size() > 4) update.accuser = NameIn(value.at(4));
   return update;
@@ -77,7 +60,7 @@
 
 Message MessageIn(const json& root) {
   Message message;
-  message.kind = OneOf<Message::Kind>(root.at("k"), kKinds);
+  message.kind = OneOf<Message::Kind>(root.at("k"), Message::kKinds);
   message.sender = UpdateIn(root.at("m"));
   message.sequence = FigureIn(root.at("s"));
   if (root.contains("t")) {
@@ -98,39 +81,6 @@
 
 }  // namespace
 
-std::string_view Name(MemberState state) { return kStates.at(static_cast<std::size_t>(state)); }
-std::string_view Name(Drop drop) { return kDropNames.at(static_cast<std::size_t>(drop)); }
-
-std::string Text(const Udp::endpoint& address) {
-  return address.address().to_string() + ":" + std::to_string(address.port());
-}
-
-std::vector<std::uint8_t> Encode(std::string_view fleet, const Message& message) {
-  json root{{"v", kProtocolVersion},
-            {"f", fleet},
-            {"k", static_cast<int>(message.kind)},
-            {"m", Pack(message.sender)},
-            {"s", message.sequence}};
-  if (!message.target.empty()) {
-    root["t"] = message.target;
-    root["a"] = Text(message.target_address);
-  }
-  if (message.reply) root["r"] = true;
-  if (!message.state.is_null()) root["d"] = message.state;
-  if (message.table != 0) root["w"] = message.table;
-  if (message.digest != 0) root["h"] = message.digest;
-  if (const auto& lease = message.lease)
-    root["l"] = {static_cast<unsigned>(lease->verb),
-                 lease->duty,
-                 lease->token,
-                 lease->holder,
-                 lease->left_ms,
-                 lease->asked};
-  root["u"] = json::array();
-  for (const Update& update : message.updates) root["u"].push_back(Pack(update));
-  return json::to_msgpack(root);
-}
-
 std::variant<Message, Drop> Decode(std::string_view fleet, std::span<const std::uint8_t> datagram) {
   if (datagram.size() > kMostDatagram) return Drop::kOversized;
   try {
@@ -145,14 +95,4 @@
   }
 }
 
-std::size_t SizeOf(const Update& update) {
-  return kUpdateBytes + update.name.size() + update.accuser.size() + Text(update.address).size();
-}
-
-std::size_t RoomFor(std::string_view fleet, const Message& message) {
-  const std::size_t taken = kMessageBytes + fleet.size() + SizeOf(message.sender) + message.target.size() +
-                            Text(message.target_address).size();
-  return taken < kMostDatagram ? kMostDatagram - taken : 0;
-}
-
 }  // namespace brackenspoke::fleet
--- /dev/null
+++ b/src/fleet/wire/encode.cpp
@@ -0,0 +1,44 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "fleet/wire/codec.h"
+
+namespace brackenspoke::fleet {
+namespace {
+
+using nlohmann::json;
+
+json Pack(const Update& update) {
+  json packed =
+      json::array({update.name, Text(update.address), static_cast<int>(update.state), update.incarnation});
+  if (!update.accuser.empty()) packed.push_back(update.accuser);
+  return packed;
+}
+
+}  // namespace
+
+std::vector<std::uint8_t> Encode(std::string_view fleet, const Message& message) {
+  json root{{"v", kProtocolVersion},
+            {"f", fleet},
+            {"k", static_cast<int>(message.kind)},
+            {"m", Pack(message.sender)},
+            {"s", message.sequence}};
+  if (!message.target.empty()) {
+    root["t"] = message.target;
+    root["a"] = Text(message.target_address);
+  }
+  if (message.reply) root["r"] = true;
+  if (!message.state.is_null()) root["d"] = message.state;
+  if (message.table != 0) root["w"] = message.table;
+  if (message.digest != 0) root["h"] = message.digest;
+  if (const auto& lease = message.lease)
+    root["l"] = {static_cast<unsigned>(lease->verb),
+                 lease->duty,
+                 lease->token,
+                 lease->holder,
+                 lease->left_ms,
+                 lease->asked};
+  root["u"] = json::array();
+  for (const Update& update : message.updates) root["u"].push_back(Pack(update));
+  return json::to_msgpack(root);
+}
+
+}  // namespace brackenspoke::fleet
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -23,7 +23,7 @@
 #include "clock.h"
 #include "config.h"
 #include "discovery.h"
-#include "fleet/node.h"
+#include "fleet/node/node.h"
 #include "maintenance.h"
 #include "members.h"
 #include "operators.h"
--- a/tests/fleet/lease_test.cpp
+++ b/tests/fleet/lease_test.cpp
@@ -7,7 +7,8 @@
 #include <gtest/gtest.h>
 
 #include "cluster.h"
-#include "fleet/state.h"
+#include "fleet/state/state.h"
+#include "fleet/wire/codec.h"
 
 namespace brackenspoke::testing::fleet {
 namespace {
--- a/tests/fleet/membership_test.cpp
+++ b/tests/fleet/membership_test.cpp
@@ -2,13 +2,14 @@
 //
 // Membership among real processes, with faults between them; and of the protocol alone what processes cannot
 // be brought to show.
-#include "fleet/membership.h"
+#include "fleet/membership/membership.h"
 
 #include <gtest/gtest.h>
 
 #include <random>
 
 #include "cluster.h"
+#include "fleet/wire/codec.h"
 
 namespace brackenspoke::testing::fleet {
 namespace {
--- a/tests/fleet/state_test.cpp
+++ b/tests/fleet/state_test.cpp
@@ -2,14 +2,14 @@
 //
 // Shared state among real processes, with faults between them; and of the registers alone what processes
 // cannot be brought to show.
-#include "fleet/state.h"
+#include "fleet/state/state.h"
 
 #include <gtest/gtest.h>
 
 #include <atomic>
 
 #include "cluster.h"
-#include "fleet/message.h"
+#include "fleet/wire/codec.h"
 
 namespace brackenspoke::testing::fleet {
 namespace {
