Read the section sites: the gateways of every site, and the pool that they are members of

The federation's parts need to know every site's gateways, where they are reached and who votes. SitesSection holds that; each section is checked whole and, as a step of its own, against this process's name and addresses. LongestSuspicion is a function of its own, for the pool.

--- /dev/null
+++ b/src/fleet/federation/section.cpp
@@ -0,0 +1,177 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "fleet/federation/section.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <set>
+
+#include "base/config/endpoint.h"
+#include "base/config/section.h"
+
+namespace brackenspoke::fleet {
+namespace {
+
+using nlohmann::json;
+using Tcp = boost::asio::ip::tcp;
+using Udp = boost::asio::ip::udp;
+
+constexpr const char* kPoolName = "federation";
+constexpr std::size_t kLeastVoters = 3;
+
+// Names go into messages, headers and calls' answers.
+bool FitAsName(const std::string& name) {
+  return !name.empty() && name.size() <= 64 && std::all_of(name.begin(), name.end(), [](unsigned char c) {
+    return c > ' ' && c < 0x7f && c != '/' && c != ',' && c != ';';
+  });
+}
+
+std::optional<Udp::endpoint> AddressIn(const json& gateway, const char* key) {
+  const auto found = gateway.find(key);
+  return found != gateway.end() && found->is_string() ? ParseUdpEndpoint(found->get<std::string>())
+                                                      : std::nullopt;
+}
+
+GatewayAddresses ReadGateway(const json& gateway, const std::string& path, Section* section) {
+  GatewayAddresses addresses;
+  if (!gateway.is_object()) {
+    section->Fault(path, "is no object");
+    return addresses;
+  }
+  for (const auto& [key, value] : gateway.items())
+    if (key != "pool" && key != "clients") section->Fault(path + "." + key, "is no known key");
+  const auto pool = AddressIn(gateway, "pool"), clients = AddressIn(gateway, "clients");
+  if (!pool) section->Fault(path + ".pool", "is no host:port");
+  if (!clients) section->Fault(path + ".clients", "is no host:port");
+  if (pool) addresses.pool = *pool;
+  if (clients) addresses.clients = Tcp::endpoint(clients->address(), clients->port());
+  return addresses;
+}
+
+SiteGateways ReadSite(const json& site, const std::string& path, Section* section) {
+  SiteGateways gateways;
+  if (!site.is_object() || site.empty()) {
+    section->Fault(path, "is no object of gateways");
+    return gateways;
+  }
+  for (const auto& [name, gateway] : site.items()) {
+    const std::string at = path + "." + name;
+    if (!FitAsName(name)) section->Fault(at, "is no name of 1 to 64 bytes without blanks and / , ;");
+    gateways[name] = ReadGateway(gateway, at, section);
+  }
+  return gateways;
+}
+
+void ReadGateways(Section* section, SitesSection* sites) {
+  const json* all = section->Find("gateways");
+  if (!all) return section->Fault("gateways", "is missing");
+  if (!all->is_object()) return section->Fault("gateways", "is no object");
+  for (const auto& [site, gateways] : all->items()) {
+    const std::string path = "gateways." + site;
+    if (!FitAsName(site)) section->Fault(path, "is no name of 1 to 64 bytes without blanks and / , ;");
+    sites->gateways[site] = ReadSite(gateways, path, section);
+  }
+}
+
+// No two gateways are one, by name or by address.
+void CheckDistinct(const SitesSection& sites, Section* section) {
+  std::set<std::string> names;
+  std::set<Udp::endpoint> pools;
+  std::set<Tcp::endpoint> clients;
+  for (const auto& [site, gateways] : sites.gateways) {
+    for (const auto& [name, at] : gateways) {
+      const std::string path = "gateways." + site + "." + name;
+      if (!names.insert(name).second) section->Fault(path, "is a gateway of another site, too");
+      if (at.pool.port() != 0 && !pools.insert(at.pool).second)
+        section->Fault(path + ".pool", "is another gateway's, too");
+      if (at.clients.port() != 0 && !clients.insert(at.clients).second)
+        section->Fault(path + ".clients", "is another gateway's, too");
+    }
+  }
+}
+
+void CheckVoters(const SitesSection& sites, Section* section) {
+  if (sites.voters.size() < kLeastVoters || sites.voters.size() % 2 == 0)
+    section->Fault("voters", "are not three or more, and odd in number");
+  std::set<Udp::endpoint> pools, seen;
+  for (const auto& [site, gateways] : sites.gateways)
+    for (const auto& [name, at] : gateways) pools.insert(at.pool);
+  for (std::size_t i = 0; i < sites.voters.size(); ++i) {
+    const std::string path = "voters." + std::to_string(i);
+    if (!pools.contains(sites.voters[i])) section->Fault(path, "is no gateway's pool address");
+    if (!seen.insert(sites.voters[i]).second) section->Fault(path, "is listed twice");
+  }
+}
+
+}  // namespace
+
+SitesSection ReadSites(const json& root, std::vector<std::string>* faults) {
+  SitesSection sites;
+  Section section(
+      root, "sites",
+      {"site", "bind", "advertise", "gateways", "voters", "probe_interval_ms", "suspicion_multiplier",
+       "sync_interval_ms", "lease_term_ms", "lease_drift_ms", "most_bytes_per_second"},
+      faults);
+  sites.on = section.present();
+  if (!sites.on) return sites;
+  section.Text("site", &sites.site);
+  section.Address("bind", true, &sites.bind);
+  sites.advertise = sites.bind;
+  section.Address("advertise", false, &sites.advertise);
+  section.Addresses("voters", &sites.voters);
+  section.Time("probe_interval_ms", 10, 60000, &sites.probe_interval);
+  section.Whole("suspicion_multiplier", 1, 100, &sites.suspicion_multiplier);
+  section.Time("sync_interval_ms", 100, 600000, &sites.sync_interval);
+  section.Time("lease_term_ms", 100, 600000, &sites.lease_term);
+  section.Time("lease_drift_ms", 1, 60000, &sites.lease_drift);
+  section.Whole("most_bytes_per_second", 4096, 1 << 30, &sites.most_bytes_per_second);
+  if (sites.lease_term < sites.lease_drift * 6)
+    section.Fault("lease_term_ms", "is under 6 times lease_drift_ms");
+  ReadGateways(&section, &sites);
+  if (sites.site.empty())
+    section.Fault("site", "is missing");
+  else if (!sites.gateways.contains(sites.site))
+    section.Fault("gateways", "has no site " + sites.site + ", which is this one");
+  CheckDistinct(sites, &section);
+  CheckVoters(sites, &section);
+  return sites;
+}
+
+void CheckSelf(const SitesSection& sites, const std::string& name, const Tcp::endpoint& listen,
+               std::vector<std::string>* faults) {
+  if (!sites.on) return;
+  const std::string path = "sites.gateways." + sites.site + "." + name;
+  const auto site = sites.gateways.find(sites.site);
+  if (site == sites.gateways.end()) return;  // a fault of its own
+  const auto self = site->second.find(name);
+  if (self == site->second.end()) return faults->push_back(path + " is missing, which is this gateway");
+  if (self->second.pool != sites.advertise)
+    faults->push_back(path + ".pool is not sites.advertise or, without it, sites.bind");
+  if (self->second.clients != listen) faults->push_back(path + ".clients is not listen");
+}
+
+std::string SiteOf(const SitesSection& sites, const std::string& gateway) {
+  for (const auto& [site, gateways] : sites.gateways)
+    if (gateways.contains(gateway)) return site;
+  return "";
+}
+
+FleetSection PoolOf(const SitesSection& sites) {
+  FleetSection pool;
+  pool.on = sites.on;
+  pool.name = kPoolName;
+  pool.bind = sites.bind;
+  pool.advertise = sites.advertise;
+  pool.seeds = sites.voters;
+  pool.probe_interval = sites.probe_interval;
+  pool.suspicion_multiplier = sites.suspicion_multiplier;
+  pool.sync_interval = sites.sync_interval;
+  pool.lease_term = sites.lease_term;
+  pool.lease_drift = sites.lease_drift;
+  pool.most_bytes_per_second = sites.most_bytes_per_second;
+  pool.share_verdicts = false;
+  pool.forget = std::max(pool.forget, LongestSuspicion(pool));
+  return pool;
+}
+
+}  // namespace brackenspoke::fleet
--- a/src/fleet/section.cpp
+++ b/src/fleet/section.cpp
@@ -5,6 +5,11 @@
 
 namespace brackenspoke::fleet {
 
+// 6 times the shortest, which grows with the logarithm of the members.
+Milliseconds LongestSuspicion(const FleetSection& fleet) {
+  return fleet.probe_interval * (fleet.suspicion_multiplier * 6 * 4);
+}
+
 FleetSection ReadFleet(const nlohmann::json& root, std::vector<std::string>* faults) {
   FleetSection fleet;
   Section section(root, "fleet",
@@ -39,9 +44,7 @@
   if (fleet.lease_term.count() > 0 && fleet.seeds.empty())
     faults->push_back("fleet.seeds is missing, as leases need voters");
   if (fleet.name.empty()) faults->push_back("fleet.name is empty");
-  // A member must not be forgotten sooner than a suspicion can end: 6 times the shortest, in a fleet of
-  // 10,000.
-  const Milliseconds longest = fleet.probe_interval * (fleet.suspicion_multiplier * 6 * 4);
+  const Milliseconds longest = LongestSuspicion(fleet);
   if (fleet.forget < longest)
     faults->push_back("fleet.forget_ms is under " + std::to_string(longest.count()) +
                       ", the longest suspicion");
--- a/src/fleet/section.h
+++ b/src/fleet/section.h
@@ -37,6 +37,9 @@
   Milliseconds most_skew{500};      // that a member's wall clock may be ahead of another's
 };
 
+// In a fleet of up to 10,000: no member may be forgotten sooner.
+Milliseconds LongestSuspicion(const FleetSection& fleet);
+
 // Reads `fleet` of the file's root object. Appends one line per fault to `faults`.
 FleetSection ReadFleet(const nlohmann::json& root, std::vector<std::string>* faults);
 
--- a/src/proxy/config.cpp
+++ b/src/proxy/config.cpp
@@ -110,7 +110,8 @@
 
 // Keys that the documents let a file leave out.
 bool MayBeAbsent(const std::string& key) {
-  static const std::set<std::string> kOptional{"known", "aimStretch", "passesDeadline", "warmKeys", "fleet"};
+  static const std::set<std::string> kOptional{"known",    "aimStretch", "passesDeadline",
+                                               "warmKeys", "fleet",      "sites"};
   return kOptional.contains(key);
 }
 
@@ -210,11 +211,22 @@
     faults.push_back("state.dir is missing, and $TMPDIR is not set");
   if (config.fleet.on && !FitForMember(config.name))
     faults.push_back("name is not 1 to 64 bytes without blanks, as a member of a fleet needs");
-  if (!faults.empty()) throw BadConfig(Joined(faults));
+  config.sites = fleet::ReadSites(root, &faults);
+  if (!faults.empty()) throw BadConfig(std::move(faults));
   config.file = WithoutKnown(root);
   return config;
 }
 
+// What one section alone cannot tell.
+void CheckAcross(const Config& config) {
+  std::vector<std::string> faults;
+  fleet::CheckSelf(config.sites, config.name, config.listen, &faults);
+  if (config.sites.on && !config.fleet.on) faults.push_back("fleet is missing, which sites needs");
+  if (config.sites.on && config.fleet.bind == config.sites.bind)
+    faults.push_back("sites.bind is fleet.bind, too");
+  if (!faults.empty()) throw BadConfig(std::move(faults));
+}
+
 std::string ReadFile(const Environment& env) {
   const char* path = env("ROUTER_CONFIG");
   if (!path || !*path) throw BadConfig("ROUTER_CONFIG is not set");
@@ -239,8 +251,13 @@
 
 }  // namespace
 
+BadConfig::BadConfig(std::vector<std::string> faults)
+    : std::runtime_error(Joined(faults)), faults_(std::move(faults)) {}
+
 Config ParseConfig(std::string_view text, const Environment& env) {
-  return Parsed(text, [&](const json& root) { return Read(root, env); });
+  Config config = Parsed(text, [&](const json& root) { return Read(root, env); });
+  CheckAcross(config);
+  return config;
 }
 
 Config LoadConfig(const Environment& env) {
@@ -277,8 +294,8 @@
 }
 
 std::vector<std::string> UnknownTopKeys(const json& root) {
-  static const std::set<std::string> kKnown{"name",  "listen",   "discovery", "seed",  "limits",
-                                            "known", "settings", "ops",       "fleet", "state"};
+  static const std::set<std::string> kKnown{"name",     "listen", "discovery", "seed",  "limits", "known",
+                                            "settings", "ops",    "fleet",     "state", "sites"};
   std::vector<std::string> unknown;
   for (const auto& [key, value] : root.items())
     if (!kKnown.contains(key)) unknown.push_back(key + " is no known key");
@@ -294,11 +311,12 @@
       faults = UnknownTopKeys(root);
       fleet::ReadFleet(root, &faults);
       state::ReadState(root, &faults);
+      fleet::ReadSites(root, &faults);
       if (!faults.empty()) return faults;
     }
     ParseConfig(text, env);
   } catch (const BadConfig& error) {
-    faults.push_back(error.what());
+    faults.insert(faults.end(), error.faults().begin(), error.faults().end());
   }
   return faults;
 }
--- a/src/proxy/config.h
+++ b/src/proxy/config.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "brackenspoke/balancer.h"
+#include "fleet/federation/section.h"
 #include "fleet/section.h"
 #include "members.h"
 #include "state/section.h"
@@ -25,7 +26,13 @@
 // what() is one line that says what is missing or wrong.
 class BadConfig : public std::runtime_error {
  public:
-  using std::runtime_error::runtime_error;
+  explicit BadConfig(const std::string& fault) : BadConfig(std::vector<std::string>{fault}) {}
+  explicit BadConfig(std::vector<std::string> faults);
+
+  const std::vector<std::string>& faults() const { return faults_; }  // one line each
+
+ private:
+  std::vector<std::string> faults_;
 };
 
 struct Config {
@@ -44,6 +51,7 @@
   MemberList known;
   fleet::FleetSection fleet;
   state::StateSection state;
+  fleet::SitesSection sites;
   std::shared_ptr<const nlohmann::json> file;  // without what is known
 };
 
