Declare what the federation tells the module and asks of it

Submit gets `share`, what a partner's account over all gateways said of the request, which replaces the static division of the quota for it, and `spilled`; SpillShare says how much room neighbours' overflow may have; Spare() tells what a neighbour could still send. Neutral: without an account nothing changes, spilled requests are refused and nothing is spare.

--- a/include/brackenspoke/balancer.h
+++ b/include/brackenspoke/balancer.h
@@ -85,6 +85,10 @@
 // How an attempt ended. Full, connect failed and moot prove that it never ran.
 enum class Outcome { kOk, kError, kFull, kTimeout, kConnectFailed, kReset, kCancelled, kMoot, kUnknown };
 
+// What a partner's account over all gateways says of a request: within what the partner bought, or over it.
+// kUnknown: there is no account; the tenant's quota divided by the number of proxies decides.
+enum class Share { kUnknown, kInside, kOver };
+
 // ---- events -------------------------------------------------------------------------------------------
 struct ListUpdate {
   ListKind kind = ListKind::kDelta;
@@ -100,6 +104,10 @@
   bool client_retry = false;
   bool uploading = false;  // its body is still to come: its time begins with Uploaded
   double work_ms = 0;      // hinted work on a standard core
+  Share share = Share::kUnknown;
+  // A neighbour site's overflow: it goes at once, within SpillShare and behind all requests of this site, or
+  // is refused at once. It is never held.
+  bool spilled = false;
 };
 struct Uploaded {
   RequestId request = 0;
@@ -169,9 +177,14 @@
   double work_per_ms = 0, warm_work_per_ms = 0;  // of all servers; of a warm one
   double stretch = 0;                            // time over hinted work, of large requests
 };
-using Event =
-    std::variant<ListUpdate, Submit, StreamStarted, AttemptEnded, ClientGone, TimerFired, Detach, Attach,
-                 Sharing, NewSettings, Uploaded, PeerVerdict, PeerKey, ServerShare, Restored, Pace>;
+// Spilled requests in flight may be worth this part, from 0 to 1, of the room that this proxy's limit in
+// flight has left beyond its own requests. 0, as before the first such event: all are refused.
+struct SpillShare {
+  double most_part = 0;
+};
+using Event = std::variant<ListUpdate, Submit, StreamStarted, AttemptEnded, ClientGone, TimerFired, Detach,
+                           Attach, Sharing, NewSettings, Uploaded, PeerVerdict, PeerKey, ServerShare,
+                           Restored, Pace, SpillShare>;
 
 // No verdict of this module reaches further: the longest ejection, and the spread of return times.
 inline constexpr Duration kLongestEjection{20000};
@@ -209,6 +222,14 @@
 };
 using Action = std::variant<Dispatch, Refuse, Fail, SetTimer, Subscribe, CloseIdle, Log, Ejected>;
 
+// What admission would still let through beyond what it takes now, as far as this proxy can tell. Nothing
+// where requests are held or were refused for want of room within the last second, or no server is usable.
+struct Spare {
+  double work_per_ms = 0;        // hinted work on standard cores, in the mean
+  double least_work_per_ms = 0;  // a lower bound: less by the mean's deviation as seen; 0 to the mean
+  Duration wait{0};              // that a request which came now would be held for, about
+};
+
 class Balancer {
  public:
   Balancer(Settings settings, std::uint64_t seed);
@@ -222,6 +243,9 @@
 
   Pace Learnt() const;
 
+  // As of the last event, its rates aged to `now`. Changes nothing.
+  brackenspoke::Spare Spare(TimePoint now) const;
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -652,7 +652,8 @@
 
   double Pressure() const { return std::max(crowding_ / kComfort, of_aim_ / kAimShare); }
 
-  bool WithinShare(int tenant) {
+  bool WithinShare(int tenant, Share share) {
+    if (share != Share::kUnknown) return share == Share::kInside;
     if (tenant < 0 || tenant >= static_cast<int>(tenant_tokens_.size())) return true;
     double& tokens = tenant_tokens_[tenant];
     if (tokens < 1) return false;
@@ -687,7 +688,7 @@
     r.arrived = now_;
     r.key = e.key;
     r.uploading = e.uploading;
-    if (e.request_class < 0 || e.request_class >= static_cast<int>(settings_.classes.size())) {
+    if (e.spilled || e.request_class < 0 || e.request_class >= static_cast<int>(settings_.classes.size())) {
       // Nothing is known of what it may do twice, and it never ran: the client may try again.
       out_->push_back(Refuse{r.id, Duration(0)});
       return;
@@ -706,7 +707,7 @@
     mean_aim_.Add(c.aim.count());
     if (now_ - std::exchange(asked_at_, now_) > kUnasked) asked_from_ = now_;
     asked_work_ += r.work;
-    r.value = c.worth * (WithinShare(e.tenant) ? 1 : settings_.over_share_worth);
+    r.value = c.worth * (WithinShare(e.tenant, e.share) ? 1 : settings_.over_share_worth);
     // What is too large to be in time is worth little, or nothing: it must not take the place of others. Each
     // such finding weakens the next: a slow spell must not shut a class out for good.
     const bool at_ease = fleet_.thin && Pressure() < kAtEase;  // it takes nobody's place, and may be lucky
@@ -796,6 +797,7 @@
   }
 
   void On(const TimerFired&) {}
+  void On(const SpillShare&) {}
 
   // ---- 7. Discovery -----------------------------------------------------------------------------------
   void On(const ListUpdate& e) {
@@ -1112,6 +1114,7 @@
 Balancer::Balancer(Balancer&&) noexcept = default;
 Balancer& Balancer::operator=(Balancer&&) noexcept = default;
 Pace Balancer::Learnt() const { return impl_->Learnt(); }
+Spare Balancer::Spare(TimePoint) const { return {}; }
 
 void Balancer::Handle(TimePoint now, const Event& event, std::vector<Action>* actions) {
   impl_->Handle(now, event, actions);
