--- a/tests/fleet/lease_test.cpp
+++ b/tests/fleet/lease_test.cpp
@@ -6,7 +6,8 @@
 
 #include "cluster.h"
 #include "fleet/lease/leases.h"
-#include "fleet/state.h"
+#include "fleet/state/state.h"
+#include "fleet/wire/codec.h"
 
 namespace brackenspoke::testing::fleet {
 namespace {
