--- a/src/fleet/wire/encode.cpp
+++ b/src/fleet/wire/encode.cpp
@@ -35,7 +35,12 @@
                  lease->token,
                  lease->holder,
                  lease->left_ms,
-                 lease->asked};
+                 lease->asked,
+                 lease->request,
+                 lease->term_ms,
+                 lease->drift_ms,
+                 lease->voters,
+                 static_cast<unsigned>(lease->why)};
   root["u"] = json::array();
   for (const Update& update : message.updates) root["u"].push_back(Pack(update));
   return json::to_msgpack(root);
