Split the decision module into src/policy, one part of the decisions a file

src/balance.cpp and src/measures.h become eleven files: the life of a request, and the list of servers, outlier detection, pick, cold budget, warm keys, admission, repeats, traffic learnt, records and measures.

--- /dev/null
+++ b/src/policy/repeats.h
@@ -0,0 +1,39 @@
+// SPDX-License-Identifier: Apache-2.0
+// Whether a request may be sent (again) or refused, by what its attempts may have done.
+#ifndef BRACKENSPOKE_SRC_POLICY_REPEATS_H_
+#define BRACKENSPOKE_SRC_POLICY_REPEATS_H_
+
+#include "policy/records.h"
+
+namespace brackenspoke {
+
+constexpr double kWindowMargin = 0.9;  // of the window in which a keyed repeat is dropped
+constexpr double kRetryRatio = 0.1;    // repeats a first send earns: bounds a storm to a tenth
+constexpr double kRetryBurst = 20;     // repeats in store
+
+// What may be done with a request now. With an anchor: only at servers that drop this one's repeats.
+struct Permission {
+  bool dispatch = false, refuse = false;
+  const Server* anchor = nullptr;
+};
+
+// The one place that decides it.
+inline Permission Permitted(const Request& r, TimePoint now, const std::vector<Server>& servers) {
+  Permission may;
+  if (r.finished || r.streaming) return may;
+  may.dispatch = now < r.due && static_cast<int>(r.attempts.size()) < r.most_attempts && !r.Outstanding() &&
+                 r.repeatable;
+  may.refuse = true;
+  const auto first_run =
+      std::find_if(r.attempts.begin(), r.attempts.end(), [](const Attempt& a) { return a.may_have_run; });
+  if (first_run == r.attempts.end() || r.rules.effect == Effect::kSafe) return may;
+  may.refuse = r.rules.effect == Effect::kKeyed && r.rules.group == Group::kAll;
+  may.dispatch &=
+      r.rules.effect == Effect::kKeyed && now - first_run->sent_at <= r.rules.window * kWindowMargin;
+  may.anchor = &servers[first_run->server];
+  return may;
+}
+
+}  // namespace brackenspoke
+
+#endif  // BRACKENSPOKE_SRC_POLICY_REPEATS_H_
