Keep a held request's place when its upload ends

Cause: held requests are ordered by worth and time, and Uploaded changed the time of one that was held. Found by 1.35 million random events of all kinds. Change: it leaves its place before its time changes and takes the new one.

--- a/src/policy/balancer.cpp
+++ b/src/policy/balancer.cpp
@@ -90,7 +90,10 @@
   void On(const Uploaded& e) {
     Request* r = Find(e.request);
     if (!r) return;
+    const bool held = r->held;
+    Unhold(*r);  // its place among the held goes by its time
     r->uploading = false, r->arrived = x_.now, r->due = e.due;
+    if (held) Hold(*r);
     if (!r->Outstanding()) return;
     Server& s = LastServer(*r);
     if (s.own_count == 1) s.quiet_since = x_.now;
@@ -150,9 +153,7 @@
     } else if (!may.dispatch || x_.now >= r.refuse_at) {
       Finish(r);
     } else if (!r.held) {
-      r.held = true;
-      held_.emplace(-r.value, -r.arrived.time_since_epoch(), r.id);
-      wakeups_.emplace(r.refuse_at, r.id);
+      Hold(r);
     }
     return s;
   }
@@ -167,6 +168,12 @@
     }
   }
 
+  void Hold(Request& r) {
+    r.held = true;
+    held_.emplace(-r.value, -r.arrived.time_since_epoch(), r.id);
+    wakeups_.emplace(r.refuse_at, r.id);
+  }
+
   void Unhold(Request& r) {
     if (r.held) held_.erase({-r.value, -r.arrived.time_since_epoch(), r.id});
     r.held = false;
--- a/tests/bodies_test.cpp
+++ b/tests/bodies_test.cpp
@@ -56,6 +56,24 @@
   EXPECT_TRUE(rig.SentTo(1)) << "there is time for another";
 }
 
+// The held are kept by their time, which the end of an upload changes: one that had gone was looked up.
+TEST(Bodies, AHeldRequestWhoseUploadEndsGoesInItsTurnOrIsForgotten) {
+  Rig rig;
+  rig.Servers(1);
+  EXPECT_TRUE(rig.Ask(1));
+  EXPECT_TRUE(rig.Ask(2));
+  for (const RequestId id : {3, 4}) {
+    rig.Do(Upload(rig, id));
+    EXPECT_FALSE(rig.SentTo(id));
+    rig.now += 10;
+    rig.Do(Uploaded{id, At(rig.now + 1000)});
+  }
+  rig.Do(ClientGone{3});
+  rig.End(1, 0, 1, Outcome::kOk);
+  EXPECT_TRUE(rig.SentTo(4));
+  EXPECT_EQ(rig.Count<Dispatch>(), 1);
+}
+
 TEST(Bodies, WhatIsNotToBeHadAgainIsNotSentAgain) {
   Rig rig;
   rig.Servers(2);
