Make classes of the fleet's parts, and let a Node carry payloads for layers above

membership.cpp (516 lines) was one class with every concern of SWIM in it. Now MemberTable, Suspicions, News, Errands, Health, Claims, Mailer and Probes each own their part and Membership composes them; the order of random numbers and of messages is as before. Entries of shared state and their packing have a file of their own.

Node did everything on its own: the socket, the byte allowance, the exchange of state, the share of the limit and operators' lines are now Transport, StateExchange, LimitShare and describe.h, and NodeOptions says who speaks in the log and which duties have leases, so that a second Node fits in the same process.

New: messages of kind payload, with a channel of up to 16 bytes and up to 1,024 bytes of value; Node::Send, Node::Subscribe; a channel that nobody takes is counted as dropped 'channel'. A member that does not know the kind drops it as malformed.

A message with a lease did not count the lease in RoomFor: with long names and a full load of state it could pass 1,400 bytes and be dropped by its receiver as oversized. Counted now; a test fills every kind to the brim with the longest names.

--- /dev/null
+++ b/src/fleet/membership/health.h
@@ -0,0 +1,26 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Lifeguard's local health: a member that hears little itself gives others more time.
+#ifndef BRACKENSPOKE_FLEET_MEMBERSHIP_HEALTH_H_
+#define BRACKENSPOKE_FLEET_MEMBERSHIP_HEALTH_H_
+
+#include <algorithm>
+
+#include "fleet/membership/options.h"
+
+namespace brackenspoke::fleet {
+
+class Health {
+ public:
+  void Worsen(int by) { score_ = std::min(kMostHealth, score_ + by); }
+  void Improve() { score_ = std::max(0, score_ - 1); }
+  int score() const { return score_; }  // 0: well
+  Span Scaled(Span span) const { return span * (score_ + 1); }
+
+ private:
+  int score_ = 0;
+};
+
+}  // namespace brackenspoke::fleet
+
+#endif  // BRACKENSPOKE_FLEET_MEMBERSHIP_HEALTH_H_
--- /dev/null
+++ b/src/fleet/node/channels.h
@@ -0,0 +1,38 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Who takes the payloads that layers above the fleet send to each other.
+#ifndef BRACKENSPOKE_FLEET_NODE_CHANNELS_H_
+#define BRACKENSPOKE_FLEET_NODE_CHANNELS_H_
+
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+
+#include "fleet/wire/message.h"
+
+namespace brackenspoke::fleet {
+
+// Takes a payload as it came: whoever sent it may have sent anything. `sender` is as it sees itself.
+using TakePayload = std::function<void(const Update& sender, const nlohmann::json& payload)>;
+
+class Channels {
+ public:
+  // Replaces who took the channel before.
+  void Subscribe(std::string channel, TakePayload take) { takers_[std::move(channel)] = std::move(take); }
+
+  // False if nobody takes this message's channel.
+  bool Deliver(const Message& message) const {
+    const auto found = takers_.find(message.channel);
+    if (found == takers_.end()) return false;
+    found->second(message.sender, message.payload);
+    return true;
+  }
+
+ private:
+  std::map<std::string, TakePayload> takers_;
+};
+
+}  // namespace brackenspoke::fleet
+
+#endif  // BRACKENSPOKE_FLEET_NODE_CHANNELS_H_
--- /dev/null
+++ b/src/fleet/node/counts.h
@@ -0,0 +1,27 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// What a member has sent, received and dropped.
+#ifndef BRACKENSPOKE_FLEET_NODE_COUNTS_H_
+#define BRACKENSPOKE_FLEET_NODE_COUNTS_H_
+
+#include <array>
+#include <cstdint>
+#include <string>
+
+#include "fleet/wire/message.h"
+
+namespace brackenspoke::fleet {
+
+struct Counts {
+  std::uint64_t received = 0, sent = 0;              // datagrams
+  std::uint64_t bytes_received = 0, bytes_sent = 0;  // of datagrams
+  std::array<std::uint64_t, kDrops> dropped{};       // received, by Drop
+  std::uint64_t throttled = 0;                       // not sent, for the sake of most_bytes_per_second
+};
+
+// "malformed=.. oversized=.. foreign=.. version=.. channel=.. throttled=.."
+std::string DropsLine(const Counts& counts);
+
+}  // namespace brackenspoke::fleet
+
+#endif  // BRACKENSPOKE_FLEET_NODE_COUNTS_H_
--- /dev/null
+++ b/src/fleet/node/describe.cpp
@@ -0,0 +1,38 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "fleet/node/describe.h"
+
+#include <spdlog/fmt/fmt.h>
+
+#include <algorithm>
+#include <chrono>
+
+namespace brackenspoke::fleet {
+namespace {
+
+std::string LineOf(const Member& member, Time now) {
+  const std::chrono::duration<double> age = now - member.since;
+  return fmt::format("{} {} {} {:.1f}s", member.last.name, Name(member.last.state), member.last.incarnation,
+                     age.count());
+}
+
+}  // namespace
+
+std::string DescribeMembers(const Membership& membership, const Counts& counts, Time now) {
+  std::string line = LineOf(membership.self(), now);
+  for (const auto& [name, member] : membership.others()) line += ", " + LineOf(member, now);
+  return line + fmt::format("; health={} sent={} bytes_sent={} received={} {}", membership.health(),
+                            counts.sent, counts.bytes_sent, counts.received, DropsLine(counts));
+}
+
+std::string DescribeState(const SharedState::Summary& all, int limit, int share) {
+  std::string line = fmt::format(
+      "verdicts={} newest_ms={} oldest_ms={}, affinity={} newest_ms={} oldest_ms={}, facts={}, limit={} "
+      "share={}; refused",
+      all.verdicts, all.newest_verdict, all.oldest_verdict, all.sites, all.newest_site, all.oldest_site,
+      all.facts, limit, std::max(0, share));
+  for (int i = 0; i < kRefusals; ++i)
+    line += fmt::format(" {}={}", Name(static_cast<Refusal>(i)), all.refused[static_cast<std::size_t>(i)]);
+  return line;
+}
+
+}  // namespace brackenspoke::fleet
--- /dev/null
+++ b/src/fleet/node/describe.h
@@ -0,0 +1,24 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// A member and what it shares, in one line for operators.
+#ifndef BRACKENSPOKE_FLEET_NODE_DESCRIBE_H_
+#define BRACKENSPOKE_FLEET_NODE_DESCRIBE_H_
+
+#include <string>
+
+#include "fleet/membership/membership.h"
+#include "fleet/node/counts.h"
+#include "fleet/state/state.h"
+
+namespace brackenspoke::fleet {
+
+// Every member as "name state incarnation age", this one first, and the counts.
+std::string DescribeMembers(const Membership& membership, const Counts& counts, Time now);
+
+// Of each kind of shared state how much is held, its newest and oldest age, the share of the limit, and what
+// was refused.
+std::string DescribeState(const SharedState::Summary& all, int limit, int share);
+
+}  // namespace brackenspoke::fleet
+
+#endif  // BRACKENSPOKE_FLEET_NODE_DESCRIBE_H_
--- a/src/fleet/node/node.h
+++ b/src/fleet/node/node.h
@@ -1,61 +1,52 @@
 // SPDX-License-Identifier: Apache-2.0
 //
-// This process as a member of its fleet: the UDP socket, the timer, the counts of what was dropped, and the
-// log lines of every change. Membership itself is in membership.h; nothing here bears on where a request
-// goes.
+// This process as a member of a fleet: membership, shared state, leases and what else goes between members,
+// on one socket and one timer, with a log line of every change. A process may be a member of several fleets,
+// with a Node for each. Nothing here bears on where a request goes.
 #ifndef BRACKENSPOKE_FLEET_NODE_NODE_H_
 #define BRACKENSPOKE_FLEET_NODE_NODE_H_
 
-#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "fleet/lease.h"
 #include "fleet/membership/membership.h"
+#include "fleet/node/channels.h"
+#include "fleet/node/facts.h"
+#include "fleet/node/limit_share.h"
+#include "fleet/node/state_exchange.h"
+#include "fleet/node/transport.h"
 #include "fleet/section.h"
-#include "fleet/state/state.h"
 
 namespace brackenspoke::fleet {
 
-struct Counts {
-  std::uint64_t received = 0, sent = 0;              // datagrams
-  std::uint64_t bytes_received = 0, bytes_sent = 0;  // of datagrams
-  std::array<std::uint64_t, kDrops> dropped{};       // received, by Drop
-  std::uint64_t throttled = 0;                       // not sent, for the sake of most_bytes_per_second
-};
-
-// What the fleet tells the proxy that this process is.
-class Facts {
- public:
-  virtual ~Facts() = default;
-  // Whether discovery's list has the server now.
-  virtual bool Listed(const std::string& server) const = 0;
-  virtual void OnVerdict(const Verdict& verdict) = 0;
-  virtual void OnKey(const KeySite& site, UnixMs met) = 0;
-  // Of the fleet's limit of requests in flight at one server, what is this process's.
-  virtual void OnShare(int most_in_flight) = 0;
-  // A peer's whole table and state have come for the first time.
-  virtual void OnJoined() = 0;
-  // What this process is to a duty from now on.
-  virtual void OnRole(const std::string& duty, Role role) = 0;
-  // The holder of a duty has made this known.
-  virtual void OnDutyFact(const DutyFact& fact) = 0;
-};
-
 // The duties that are done by one member at a time.
 inline constexpr char kDiscoveryDuty[] = "discovery", kMaintenanceDuty[] = "maintenance";
 
-class Node : private Membership::Outlet, private SharedState::Host, private Leases::Outlet {
+// Those of a site's fleet.
+inline std::vector<std::string> SiteDuties() { return {kDiscoveryDuty, kMaintenanceDuty}; }
+
+struct NodeOptions {
+  std::string component = "fleet";                 // that speaks in the log
+  std::vector<std::string> duties = SiteDuties();  // with leases, where the section has a term
+};
+
+class Node : private Transport::Host,
+             private Membership::Outlet,
+             private StateExchange::Host,
+             private Leases::Outlet {
  public:
   // Joins at once, or, while another process holds the address (one that this one replaces), as soon as that
   // one leaves it. `name` is the member's, `seed` for random numbers. `facts` outlives this and is called
   // from the event loop only, never from within the constructor.
   Node(boost::asio::io_context& io, const FleetSection& section, const std::string& name, std::uint64_t seed,
-       Facts& facts);
+       Facts& facts, NodeOptions options = {});
 
   void Leave();
   void Rejoin();
@@ -84,6 +75,16 @@
   // Makes a fact of a duty known for so long; nothing unless this process holds its lease.
   void Publish(const std::string& duty, const std::string& key, nlohmann::json value, Span lasts);
 
+  // To a member's address, for who has subscribed to the channel there; a member that has none drops it. It
+  // may be lost, as any datagram may. False, and nothing is sent, if the channel's name is empty or over
+  // kMostChannel bytes or the payload over kMostPayload bytes (MessagePack).
+  bool Send(const Udp::endpoint& to, std::string channel, nlohmann::json payload);
+  void Subscribe(std::string channel, TakePayload take) {
+    channels_.Subscribe(std::move(channel), std::move(take));
+  }
+  // Who is present; nothing until the address is had.
+  const Membership* membership() const { return membership_ ? &*membership_ : nullptr; }
+
   // One line: every duty as "duty role holder token left".
   std::string DescribeLeases() const;
   // One line: of each kind of shared state how much is held, its newest and oldest age, the share of the
@@ -91,64 +92,41 @@
   std::string DescribeState();
   // One line: every member as "name state incarnation age", this one first, and the counts.
   std::string Describe() const;
-  const Counts& counts() const { return counts_; }
+  const Counts& counts() const { return transport_.counts(); }
 
  private:
+  void OnOpen() override;
+  void OnMessage(const Message& message) override;
+
   void Send(const Udp::endpoint& to, const Message& message) override;
   void Changed(const Member& member, std::optional<MemberState> before, std::string_view why) override;
   void Stalled(Span late) override;
   void Displaced(const Udp::endpoint& by) override;
 
-  bool Listed(const std::string& server) const override;
-  void Taken(const Entry& entry) override;
-  void Refused(const std::string& about, const std::string& origin, Refusal why) override;
+  void OnFact(const DutyFact& fact) override;
 
   void Send(const Udp::endpoint& to, const LeaseMessage& message) override;
   void OnRole(const std::string& duty, Role role, Token token, Span left, std::string_view why) override;
 
-  void Open();
   void StartLeases();
-  void Receive();
-  void OnDatagram(std::size_t size);
-  void Count(Drop drop);
-  void ReportDrops();
-  void ReceiveState(const Message& message);
-  void SendState(const Udp::endpoint& to);
-  void PushState();
-  void AddState(Message* message);
-  void TakenFact(const DutyFact& fact);
-  bool MayLogRefusal();
-  void Settle();
-  void UpdateShare();
-  int Share() const;
   void Arm();
-  bool MaySend(std::size_t size);
 
   const FleetSection section_;
-  Udp::socket socket_;
-  boost::asio::steady_timer timer_, again_, settle_;
-  Facts& facts_;
-  SharedState state_;
-  std::array<std::uint8_t, kMostDatagram + 1> in_{};
-  Udp::endpoint from_;
-  Counts counts_, reported_;
-  Time report_at_{};
-  double allowance_;  // bytes that may be sent now
-  Time allowed_at_;
   const std::string name_;
   const std::uint64_t seed_;
-  bool stopped_ = false, waits_ = false;
+  const NodeOptions options_;
+  Facts& facts_;
+  boost::asio::steady_timer timer_;
+  Transport transport_;
+  StateExchange state_;
+  LimitShare share_;
+  Channels channels_;
+  bool stopped_ = false;
   bool away_ = false;                     // told to leave while the address was not to be had
   std::optional<Membership> membership_;  // once the address is had
   std::optional<Leases> leases_;          // where they are wanted
   Time armed_{};
   Kept kept_;  // of a life before
-  bool joined_ = false;
-  std::optional<std::uint64_t> joining_digest_;
-  bool settled_ = false;  // every member may be taken to know of this one
-  int share_ = -1;        // as last told
-  Time refusals_from_{};  // of the count that follows
-  int refusals_ = 0;
 };
 
 }  // namespace brackenspoke::fleet
--- a/src/fleet/state/state.cpp
+++ b/src/fleet/state/state.cpp
@@ -14,67 +14,11 @@
 
 constexpr std::array<std::string_view, kRefusals> kRefusalNames{"older", "off",    "malformed",   "unlisted",
                                                                 "stale", "future", "implausible", "fenced"};
-constexpr std::size_t kMostId = 128;  // bytes of a server's id or of an origin
 constexpr std::size_t kArrayBytes = 3;
-constexpr char kVerdict[] = "v", kSite[] = "k", kDuty[] = "d";
 constexpr std::size_t kMostValue = 800;            // bytes of a duty's fact, packed
 constexpr std::size_t kMostDuties = 16;            // whose tokens are remembered
 constexpr UnixMs kLongestFact = 24 * 3600 * 1000;  // from a duty's fact to its end
 
-const std::string& ServerOf(const Entry& entry) {
-  if (const auto* verdict = std::get_if<Verdict>(&entry.fact)) return verdict->server;
-  if (const auto* fact = std::get_if<DutyFact>(&entry.fact)) return fact->key;
-  return std::get<KeySite>(entry.fact).server;
-}
-
-json Pack(const Entry& entry) {
-  const Version& version = entry.version;
-  if (const auto* verdict = std::get_if<Verdict>(&entry.fact))
-    return json::array({kVerdict, verdict->server, version.stamp, version.origin, verdict->until,
-                        static_cast<unsigned>(verdict->failures), static_cast<unsigned>(verdict->attempts)});
-  if (const auto* fact = std::get_if<DutyFact>(&entry.fact))
-    return json::array(
-        {kDuty, fact->key, version.stamp, version.origin, fact->duty, fact->token, fact->until, fact->value});
-  const KeySite& site = std::get<KeySite>(entry.fact);
-  return json::array({kSite, site.server, version.stamp, version.origin, site.key});
-}
-
-std::size_t PackedSize(const json& packed) { return json::to_msgpack(packed).size(); }
-
-std::string Id(const json& value) {
-  auto id = value.get<std::string>();
-  if (id.empty() || id.size() > kMostId) throw std::invalid_argument("id");
-  return id;
-}
-
-std::uint64_t Figure(const json& value) {
-  if (!value.is_number_unsigned()) throw std::invalid_argument("figure");
-  return value.get<std::uint64_t>();
-}
-
-int Count(const json& value) {
-  const std::uint64_t figure = Figure(value);
-  if (figure > 1000000) throw std::invalid_argument("count");
-  return static_cast<int>(figure);
-}
-
-// Throws json::exception or std::invalid_argument on anything out of form.
-Entry Unpack(const json& packed) {
-  Entry entry;
-  const auto kind = packed.at(0).get<std::string>();
-  const std::string server = Id(packed.at(1));
-  entry.version = {Figure(packed.at(2)), Id(packed.at(3))};
-  if (kind == kVerdict)
-    entry.fact = Verdict{server, Figure(packed.at(4)), Count(packed.at(5)), Count(packed.at(6))};
-  else if (kind == kSite)
-    entry.fact = KeySite{Figure(packed.at(4)), server};
-  else if (kind == kDuty)
-    entry.fact = DutyFact{Id(packed.at(4)), server, Figure(packed.at(5)), Figure(packed.at(6)), packed.at(7)};
-  else
-    throw std::invalid_argument("kind");
-  return entry;
-}
-
 }  // namespace
 
 std::string_view Name(Refusal refusal) { return kRefusalNames.at(static_cast<std::size_t>(refusal)); }
@@ -173,7 +117,7 @@
   if (!(verdict ? options_.verdicts : options_.affinity_entries > 0)) return Refusal::kOff;
   if (MillisecondsOf(entry.version.stamp) > now + options_.most_skew) return Refusal::kFuture;
   if (ExpiresAt(entry) <= now) return Refusal::kStale;
-  if (!host_.Listed(ServerOf(entry))) return Refusal::kUnlisted;
+  if (!host_.Listed(SubjectOf(entry))) return Refusal::kUnlisted;
   if (verdict) {
     if (const auto why = JudgeVerdict(*verdict, entry.version.stamp)) return why;
   }
@@ -206,7 +150,7 @@
       continue;
     }
     if (const auto why = Judge(now, entry)) {
-      Refuse(ServerOf(entry), entry.version.origin, *why);
+      Refuse(SubjectOf(entry), entry.version.origin, *why);
       continue;
     }
     clock_.See(entry.version.stamp);
--- a/src/fleet/state/state.h
+++ b/src/fleet/state/state.h
@@ -15,49 +15,14 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <variant>
 #include <vector>
 
-#include "fleet/state/hybrid_clock.h"
+#include "fleet/state/entry.h"
 
 namespace brackenspoke::fleet {
 
-using UnixMs = std::uint64_t;
-
-// A member has taken a server out: on `failures` of `attempts`, until then.
-struct Verdict {
-  std::string server;  // discovery's id
-  UnixMs until = 0;
-  int failures = 0, attempts = 0;
-};
-
-// A request with this key went there.
-struct KeySite {
-  std::uint64_t key = 0;
-  std::string server;
-};
-
-// What the holder of a duty makes known. The larger token wins, then the later stamp; a token smaller than
-// the largest seen of the duty is refused (Kleppmann: "How to do distributed locking", 2016).
-struct DutyFact {
-  std::string duty, key;  // the key is the fact's own among all duties
-  std::uint64_t token = 0;
-  UnixMs until = 0;
-  nlohmann::json value;
-};
-
-// Who wrote an entry, and when. The later stamp wins; of equal ones the greater name.
-struct Version {
-  Stamp stamp = 0;
-  std::string origin;
-  auto operator<=>(const Version&) const = default;
-};
-
-struct Entry {
-  std::variant<Verdict, KeySite, DutyFact> fact;
-  Version version;
-};
-
 // Why an entry was not taken. kOlder, that what is held is as new or newer, and kOff, that this member does
 // not share the kind, are no faults.
 enum class Refusal { kOlder, kOff, kMalformed, kUnlisted, kStale, kFuture, kImplausible, kFenced };
--- a/src/fleet/wire/decode.cpp
+++ b/src/fleet/wire/decode.cpp
@@ -75,6 +75,11 @@
   if (root.contains("h")) message.digest = FigureIn(root.at("h"));
   if (root.contains("l")) message.lease = LeaseIn(root.at("l"));
   if (message.kind == Message::Kind::kLease && !message.lease) throw std::invalid_argument("lease");
+  if (message.kind == Message::Kind::kPayload) {
+    message.channel = NameIn(root.at("c"));
+    if (message.channel.size() > kMostChannel) throw std::invalid_argument("channel");
+    message.payload = root.at("p");
+  }
   for (const json& update : root.at("u")) message.updates.push_back(UpdateIn(update));
   return message;
 }
--- a/src/fleet/wire/encode.cpp
+++ b/src/fleet/wire/encode.cpp
@@ -36,6 +36,10 @@
                  lease->holder,
                  lease->left_ms,
                  lease->asked};
+  if (message.kind == Message::Kind::kPayload) {
+    root["c"] = message.channel;
+    root["p"] = message.payload;
+  }
   root["u"] = json::array();
   for (const Update& update : message.updates) root["u"].push_back(Pack(update));
   return json::to_msgpack(root);
--- a/src/fleet/wire/message.cpp
+++ b/src/fleet/wire/message.cpp
@@ -7,7 +7,8 @@
 namespace {
 
 constexpr std::array<std::string_view, kStates> kStateNames{"alive", "suspect", "dead", "left"};
-constexpr std::array<std::string_view, kDrops> kDropNames{"malformed", "oversized", "foreign", "version"};
+constexpr std::array<std::string_view, kDrops> kDropNames{"malformed", "oversized", "foreign", "version",
+                                                          "channel"};
 
 }  // namespace
 
--- a/src/fleet/wire/message.h
+++ b/src/fleet/wire/message.h
@@ -19,6 +19,8 @@
 inline constexpr std::size_t kMostDatagram = 1400;  // bytes; within one frame of an ordinary network
 inline constexpr std::size_t kMostName = 64;        // bytes of a member's name
 inline constexpr int kProtocolVersion = 1;
+inline constexpr std::size_t kMostChannel = 16;    // bytes of a channel's name
+inline constexpr std::size_t kMostPayload = 1024;  // bytes of a payload, packed; fits with the longest names
 
 enum class MemberState { kAlive, kSuspect, kDead, kLeft };
 inline constexpr int kStates = 4;
@@ -46,9 +48,9 @@
 
 struct Message {
   // SWIM's ping, ping-req and ack, Lifeguard's nack, the exchange of whole tables, shared state alone,
-  // and leases.
-  enum class Kind { kPing, kPingReq, kAck, kNack, kSync, kState, kLease };
-  static constexpr int kKinds = 7;
+  // leases, and what layers above the fleet send. A member that does not know a kind drops it as malformed.
+  enum class Kind { kPing, kPingReq, kAck, kNack, kSync, kState, kLease, kPayload };
+  static constexpr int kKinds = 8;
   Kind kind = Kind::kPing;
   Update sender;               // as it sees itself: alive, or left
   std::uint64_t sequence = 0;  // of the probe that this belongs to
@@ -60,11 +62,13 @@
   // Of kSync: digests of who is present, and of the shared state, as the sender holds them.
   std::uint64_t table = 0, digest = 0;
   std::optional<LeaseMessage> lease;  // of kLease
+  std::string channel;  // of kPayload: who takes it; and what it is, which the fleet does not read
+  nlohmann::json payload;
 };
 
-// Why a datagram was dropped.
-enum class Drop { kMalformed, kOversized, kForeignFleet, kOtherVersion };
-inline constexpr int kDrops = 4;
+// Why a datagram was dropped. kOtherChannel: a payload that nobody here has subscribed to.
+enum class Drop { kMalformed, kOversized, kForeignFleet, kOtherVersion, kOtherChannel };
+inline constexpr int kDrops = 5;
 std::string_view Name(Drop drop);
 
 std::string Text(const Udp::endpoint& address);  // host:port
--- a/src/fleet/wire/size.cpp
+++ b/src/fleet/wire/size.cpp
@@ -5,9 +5,10 @@
 namespace {
 
 // Bytes of MessagePack beside the texts: of an update (its array, three texts, the state, the incarnation),
-// and of the rest of a message (a map of twelve one-letter keys with their values).
+// of the rest of a message (a map of up to fifteen one-letter keys with their values), and of a lease.
 constexpr std::size_t kUpdateBytes = 1 + 3 * 2 + 1 + 9;
-constexpr std::size_t kMessageBytes = 1 + 12 * 2 + 3 * 1 + 3 * 9 + 3 * 2 + 3;
+constexpr std::size_t kMessageBytes = 1 + 15 * 2 + 3 * 1 + 3 * 9 + 3 * 2 + 3 + 2;
+constexpr std::size_t kLeaseBytes = 1 + 1 + 2 * 3 + 3 * 9;
 
 }  // namespace
 
@@ -16,8 +17,11 @@
 }
 
 std::size_t RoomFor(std::string_view fleet, const Message& message) {
-  const std::size_t taken = kMessageBytes + fleet.size() + SizeOf(message.sender) + message.target.size() +
-                            Text(message.target_address).size();
+  std::size_t taken = kMessageBytes + fleet.size() + SizeOf(message.sender) + message.target.size() +
+                      Text(message.target_address).size();
+  if (const auto& lease = message.lease) taken += kLeaseBytes + lease->duty.size() + lease->holder.size();
+  if (message.kind == Message::Kind::kPayload)
+    taken += message.channel.size() + nlohmann::json::to_msgpack(message.payload).size();
   return taken < kMostDatagram ? kMostDatagram - taken : 0;
 }
 
