--- a/src/fleet/wire/encode.cpp
+++ b/src/fleet/wire/encode.cpp
@@ -41,6 +41,10 @@
                  lease->drift_ms,
                  lease->voters,
                  static_cast<unsigned>(lease->why)};
+  if (message.kind == Message::Kind::kPayload) {
+    root["c"] = message.channel;
+    root["p"] = message.payload;
+  }
   root["u"] = json::array();
   for (const Update& update : message.updates) root["u"].push_back(Pack(update));
   return json::to_msgpack(root);
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -118,7 +118,7 @@
     const std::uint64_t seed = config_->seed ^ StableHash(config_->name);
     for (const Member& member : config_->known.members) known_servers_[member.id] = member;
     fleet_ = std::make_unique<fleet::Node>(io, config_->fleet, config_->name, seed, *this,
-                                           InState(*config_, ".votes"));
+                                           fleet::NodeOptions{.votes = InState(*config_, ".votes")});
   }
   if (config_->state.on) BeginState();
   overlap_.Watch([this] { OnLook(); });
