Host membership, shared state and leases as sites and a federation on the model

model/fleet puts the classes together as src/fleet/node.cpp does, with a machine of the model in place of socket, timer and clocks; Federation builds sites of members and a pool of all of them.

--- a/bench/fleet_bench.h
+++ b/bench/fleet_bench.h
@@ -5,11 +5,10 @@
 #ifndef BRACKENSPOKE_BENCH_FLEET_BENCH_H_
 #define BRACKENSPOKE_BENCH_FLEET_BENCH_H_
 
-#include <algorithm>
-#include <cmath>
 #include <set>
 
 #include "cluster.h"
+#include "figures.h"
 
 namespace brackenspoke::bench {
 
@@ -18,12 +17,6 @@
 
 inline double Seconds(Clock::duration span) { return std::chrono::duration<double>(span).count(); }
 
-inline double Quantile(std::vector<double> values, double q) {
-  if (values.empty()) return std::nan("");
-  std::sort(values.begin(), values.end());
-  return values[static_cast<std::size_t>(q * static_cast<double>(values.size() - 1) + 0.5)];
-}
-
 // That each live member has sent so far, in the mean.
 inline double BytesSent(Cluster& cluster, const std::set<std::size_t>& dead) {
   double sum = 0;
--- /dev/null
+++ b/model/fleet/member.cpp
@@ -0,0 +1,211 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "model/fleet/member.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "brackenspoke/balancer.h"
+
+namespace brackenspoke::model {
+namespace {
+
+using fleet::Message;
+
+constexpr std::size_t kPushFanout = 3;  // members told at once of a new verdict
+
+fleet::MembershipOptions MembershipOf(const PoolOptions& options, const Host& host) {
+  const fleet::FleetSection& section = options.section;
+  fleet::MembershipOptions of;
+  of.fleet = section.name;
+  of.name = host.Name();
+  of.address = host.Address();
+  of.seeds = section.seeds;
+  of.probe_interval = section.probe_interval;
+  of.suspicion_multiplier = section.suspicion_multiplier;
+  of.indirect_probes = section.indirect_probes;
+  of.retransmit_multiplier = section.retransmit_multiplier;
+  of.sync_interval = section.sync_interval;
+  of.forget_after = section.forget;
+  of.incarnation = host.Wall();
+  of.seed = options.seed;
+  return of;
+}
+
+fleet::StateOptions StateOf(const fleet::FleetSection& section, const std::string& name) {
+  fleet::StateOptions of;
+  of.name = name;
+  of.verdicts = section.share_verdicts;
+  of.affinity_entries = static_cast<std::size_t>(section.affinity_entries);
+  of.affinity_ttl = static_cast<fleet::UnixMs>(section.affinity_ttl.count());
+  of.most_skew = static_cast<fleet::UnixMs>(section.most_skew.count());
+  of.longest_ejection = static_cast<fleet::UnixMs>(kLongestEjection.count());
+  of.way = static_cast<fleet::UnixMs>(2 * section.probe_interval.count());
+  return of;
+}
+
+std::int64_t Milliseconds(Span span) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
+}  // namespace
+
+PoolMember::PoolMember(model::Host& host, PoolOptions options)
+    : host_(host),
+      options_(std::move(options)),
+      state_(StateOf(options_.section, host.Name()), static_cast<fleet::SharedState::Host&>(*this)),
+      allowance_(options_.section.most_bytes_per_second),
+      allowed_at_(host.Now()),
+      membership_(MembershipOf(options_, host), host.Now(), static_cast<fleet::Membership::Outlet&>(*this)) {
+  if (options_.section.lease_term.count() > 0) StartLeases();
+}
+
+void PoolMember::StartLeases() {
+  fleet::LeaseOptions of;
+  of.holder = host_.Name() + "/" + std::to_string(membership_.self().last.incarnation);
+  of.address = host_.Address();
+  of.voters = options_.section.seeds;
+  of.term = options_.section.lease_term;
+  of.drift = options_.section.lease_drift;
+  of.duties = options_.duties;
+  of.seed = options_.seed;
+  leases_.emplace(std::move(of), host_.Now(), static_cast<fleet::Leases::Outlet&>(*this));
+}
+
+void PoolMember::Receive(const Packet&, const Message& message) {
+  membership_.Receive(host_.Now(), message);
+  ReceiveState(message);
+  if (leases_ && message.lease) leases_->Receive(host_.Now(), message.sender.address, *message.lease);
+}
+
+void PoolMember::Tick() {
+  membership_.Tick(host_.Now());
+  if (leases_) leases_->Tick(host_.Now(), host_.Wall());
+}
+
+Time PoolMember::Next() const {
+  return leases_ ? std::min(membership_.Next(), leases_->Next()) : membership_.Next();
+}
+
+void PoolMember::Tell(fleet::Verdict verdict) {
+  state_.Write(host_.Wall(), std::move(verdict));
+  PushState();
+}
+
+void PoolMember::Tell(fleet::KeySite site) { state_.Write(host_.Wall(), std::move(site)); }
+
+void PoolMember::Publish(const std::string& duty, const std::string& key, nlohmann::json value, Span lasts) {
+  if (!Holds(duty)) return;
+  const fleet::UnixMs now = host_.Wall();
+  state_.Write(now, fleet::DutyFact{duty, key, leases_->token(duty),
+                                    now + static_cast<fleet::UnixMs>(Milliseconds(lasts)), std::move(value)});
+  PushState();
+}
+
+bool PoolMember::Holds(const std::string& duty) const {
+  return leases_ && leases_->role(host_.Now(), duty) == fleet::Role::kHolder;
+}
+
+void PoolMember::Send(const Endpoint& to, const Message& message) {
+  Message whole = message;
+  AddState(&whole);
+  const std::size_t size = SizeOf(whole);
+  if (!MaySend(size)) return void(++throttled_);
+  if (options_.observer) options_.observer->OnSent(*this, to, whole);
+  host_.Send(to, Datagram{options_.pool, std::move(whole)}, size);
+}
+
+// At most: what the codec would make of it may be some bytes smaller.
+std::size_t PoolMember::SizeOf(const Message& message) const {
+  std::size_t size = fleet::kMostDatagram - fleet::RoomFor(options_.section.name, message);
+  for (const fleet::Update& update : message.updates) size += fleet::SizeOf(update);
+  if (!message.state.is_null()) size += nlohmann::json::to_msgpack(message.state).size();
+  return size;
+}
+
+bool PoolMember::MaySend(std::size_t size) {
+  const Time now = host_.Now();
+  const double most = options_.section.most_bytes_per_second;
+  const double since = std::chrono::duration<double>(now - std::exchange(allowed_at_, now)).count();
+  allowance_ = std::min(most, allowance_ + most * since);
+  if (allowance_ < static_cast<double>(size)) return false;
+  allowance_ -= static_cast<double>(size);
+  return true;
+}
+
+void PoolMember::Changed(const fleet::Member& member, std::optional<fleet::MemberState> before,
+                         std::string_view) {
+  if (options_.observer) options_.observer->OnChanged(*this, member, before);
+}
+
+void PoolMember::Displaced(const Endpoint&) {
+  if (leases_) leases_->Release(host_.Now());
+}
+
+void PoolMember::ReceiveState(const Message& message) {
+  if (message.sender.name == host_.Name()) return;
+  const fleet::UnixMs now = host_.Wall();
+  if (!message.state.is_null() && state_.Receive(now, message.state)) PushState();
+  if (message.kind == Message::Kind::kSync && message.digest != state_.Digest(now))
+    SendState(message.sender.address);
+}
+
+void PoolMember::PushState() {
+  Message message;
+  message.kind = Message::Kind::kState;
+  message.sender = membership_.self().last;
+  for (const Endpoint& to : membership_.Sample(kPushFanout)) Send(to, message);
+}
+
+void PoolMember::SendState(const Endpoint& to) {
+  Message message;
+  message.kind = Message::Kind::kState;
+  message.sender = membership_.self().last;
+  for (auto& piece : state_.All(host_.Wall(), fleet::RoomFor(options_.section.name, message))) {
+    message.state = std::move(piece);
+    Send(to, message);
+  }
+}
+
+void PoolMember::AddState(Message* message) {
+  const fleet::UnixMs now = host_.Wall();
+  if (message->kind == Message::Kind::kSync) {
+    message->digest = state_.Digest(now);
+    return;
+  }
+  if (!message->state.is_null()) return;
+  std::size_t room = fleet::RoomFor(options_.section.name, *message);
+  for (const fleet::Update& update : message->updates) room -= std::min(room, fleet::SizeOf(update));
+  auto entries = state_.Fill(now, room, MostTransmits(membership_.options(), membership_.present()));
+  if (!entries.empty()) message->state = std::move(entries);
+}
+
+void PoolMember::Taken(const fleet::Entry& entry) {
+  if (const auto* fact = std::get_if<fleet::DutyFact>(&entry.fact)) HearOfLease(*fact);
+  if (options_.observer) options_.observer->OnTaken(*this, entry);
+}
+
+void PoolMember::HearOfLease(const fleet::DutyFact& fact) {
+  if (!leases_ || fact.key != "lease/" + fact.duty) return;
+  const auto left = std::clamp<std::int64_t>(fact.value.at("left_ms").get<std::int64_t>(), 0,
+                                             options_.section.lease_term.count());
+  leases_->Hear(host_.Now(), fact.duty, fact.value.at("holder").get<std::string>(), fact.token,
+                std::chrono::milliseconds(left));
+}
+
+void PoolMember::Send(const Endpoint& to, const fleet::LeaseMessage& lease) {
+  Message message;
+  message.kind = Message::Kind::kLease;
+  message.sender = membership_.self().last;
+  message.lease = lease;
+  Send(to, message);
+}
+
+void PoolMember::OnRole(const std::string& duty, fleet::Role role, fleet::Token token, Span left,
+                        std::string_view) {
+  if (options_.observer) options_.observer->OnRole(*this, duty, role, token, left);
+  if (role != fleet::Role::kHolder) return;
+  const auto holder = host_.Name() + "/" + std::to_string(membership_.self().last.incarnation);
+  Publish(duty, "lease/" + duty, {{"holder", holder}, {"left_ms", Milliseconds(left)}}, left);
+}
+
+}  // namespace brackenspoke::model
--- /dev/null
+++ b/model/fleet/member.h
@@ -0,0 +1,112 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// A member of one pool: membership, shared state and leases put together as src/fleet/node.cpp does it, with
+// a machine of the model in place of socket, timer and clocks.
+#ifndef BRACKENSPOKE_MODEL_FLEET_MEMBER_H_
+#define BRACKENSPOKE_MODEL_FLEET_MEMBER_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "fleet/lease.h"
+#include "fleet/membership.h"
+#include "fleet/section.h"
+#include "fleet/state.h"
+#include "model/program.h"
+
+namespace brackenspoke::model {
+
+class PoolMember;
+
+// A message between members of one pool. A machine may be a member of several: they share its address.
+struct Datagram {
+  std::size_t pool = 0;
+  fleet::Message message;
+};
+
+// What checks see of all members. Called from within their calls; `True()` of the host tells when.
+class Observer {
+ public:
+  virtual ~Observer() = default;
+  virtual void OnChanged(const PoolMember&, const fleet::Member&, std::optional<fleet::MemberState>) {}
+  // Another member's entry of shared state is taken.
+  virtual void OnTaken(const PoolMember&, const fleet::Entry&) {}
+  virtual void OnRole(const PoolMember&, const std::string& /*duty*/, fleet::Role, fleet::Token, Span) {}
+  virtual void OnSent(const PoolMember&, const Endpoint& /*to*/, const fleet::Message&) {}
+};
+
+struct PoolOptions {
+  fleet::FleetSection section;  // as the configuration has it; `bind` and `advertise` are not read
+  std::size_t pool = 0;
+  std::size_t site = 0;
+  std::vector<std::string> duties;  // with leases: section.lease_term over zero
+  std::uint64_t seed = 0;           // of this life
+  Observer* observer = nullptr;     // null: none; outlives the member
+};
+
+class PoolMember : private fleet::Membership::Outlet,
+                   private fleet::SharedState::Host,
+                   private fleet::Leases::Outlet {
+ public:
+  // Joins at once. The host is the machine's and outlives this.
+  PoolMember(model::Host& host, PoolOptions options);
+
+  void Receive(const Packet& packet, const fleet::Message& message);
+  void Tick();
+  Time Next() const;
+
+  // What this process has found, for its peers.
+  void Tell(fleet::Verdict verdict);
+  void Tell(fleet::KeySite site);
+  // A fact of a duty for so long; nothing unless this member holds the lease.
+  void Publish(const std::string& duty, const std::string& key, nlohmann::json value, Span lasts);
+
+  const model::Host& host() const { return host_; }
+  const PoolOptions& options() const { return options_; }
+  const fleet::Membership& membership() const { return membership_; }
+  // Null: none are wanted.
+  const fleet::Leases* leases() const { return leases_ ? &*leases_ : nullptr; }
+  bool Holds(const std::string& duty) const;
+  fleet::SharedState& state() { return state_; }
+  std::uint64_t throttled() const { return throttled_; }
+
+ private:
+  void Send(const Endpoint& to, const fleet::Message& message) override;
+  void Changed(const fleet::Member& member, std::optional<fleet::MemberState> before,
+               std::string_view why) override;
+  void Stalled(Span) override {}
+  void Displaced(const Endpoint&) override;
+
+  bool Listed(const std::string&) const override { return true; }
+  void Taken(const fleet::Entry& entry) override;
+  void Refused(const std::string&, const std::string&, fleet::Refusal) override {}
+
+  void Send(const Endpoint& to, const fleet::LeaseMessage& lease) override;
+  void OnRole(const std::string& duty, fleet::Role role, fleet::Token token, Span left,
+              std::string_view why) override;
+
+  void StartLeases();
+  void ReceiveState(const fleet::Message& message);
+  void PushState();
+  void SendState(const Endpoint& to);
+  void AddState(fleet::Message* message);
+  void HearOfLease(const fleet::DutyFact& fact);
+  std::size_t SizeOf(const fleet::Message& message) const;
+  bool MaySend(std::size_t size);
+
+  model::Host& host_;
+  const PoolOptions options_;
+  fleet::SharedState state_;
+  double allowance_;  // bytes that may be sent now
+  Time allowed_at_;
+  std::uint64_t throttled_ = 0;
+  fleet::Membership membership_;
+  std::optional<fleet::Leases> leases_;
+};
+
+}  // namespace brackenspoke::model
+
+#endif  // BRACKENSPOKE_MODEL_FLEET_MEMBER_H_
--- /dev/null
+++ b/tests/model/fleet_test.cpp
@@ -0,0 +1,139 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// The fleet's classes on the model: what docs/fleet.md bounds, under faults drawn from seeds.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+
+#include "model/fault.h"
+#include "model/fleet/federation.h"
+#include "model/trace.h"
+
+namespace brackenspoke::model {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr milliseconds kInterval{500};
+
+FederationOptions Options(std::size_t sites, std::size_t members) {
+  FederationOptions options;
+  options.sites = sites;
+  options.members = members;
+  options.fleet.probe_interval = kInterval;
+  options.fleet.sync_interval = 10 * kInterval;
+  options.wide = options.fleet;
+  options.wide.probe_interval = 2 * kInterval;
+  options.federated = sites > 1;
+  return options;
+}
+
+fleet::MembershipOptions MembershipOf(const fleet::FleetSection& section) {
+  fleet::MembershipOptions options;
+  options.probe_interval = section.probe_interval;
+  return options;
+}
+
+std::string Joined(const std::vector<std::string>& lines) {
+  std::string all;
+  for (const std::string& line : lines) all.append(line).append("\n");
+  return all;
+}
+
+// Until both sides of a cut have one view again (docs/fleet.md), and as long again, since the sync that
+// notices it may ask for another of several that are held as dead.
+Moment ViewsBound(const fleet::FleetSection& section, std::size_t members) {
+  return 2 * (Moment(section.sync_interval) + DetectionBound(MembershipOf(section), members));
+}
+
+class ConvergenceTest : public testing::TestWithParam<std::uint64_t> {};
+
+// Faults of any of `kinds` (empty: all), from 10 s to 40 s.
+Trace Draw(std::uint64_t seed, std::vector<FaultKind> kinds) {
+  FaultOptions faults;
+  faults.machines = 12;
+  faults.count = 12;
+  faults.from = seconds(10);
+  faults.to = seconds(40);
+  faults.most = seconds(15);
+  faults.most_jump_ms = 100;  // a few of them are within most_skew
+  faults.kinds = std::move(kinds);
+  return {seed, DrawFaults(seed, faults)};
+}
+
+TEST_P(ConvergenceTest, ViewsAgreeWithinTheBoundAfterFaultsEnd) {
+  const FederationOptions options = Options(3, 4);
+  const Trace trace = Draw(GetParam(), {});
+  Federation federation(trace.seed, options);
+  for (const Fault& fault : trace.faults) Inject(federation.world(), fault);
+  federation.world().RunUntil(seconds(40) + ViewsBound(options.wide, federation.size()));
+  for (const std::size_t pool : {kSitePool, kWidePool})
+    EXPECT_EQ(Joined(WrongViews(federation, pool)), "") << Write(trace);
+}
+
+// Verdicts that are told while messages are lost, late, doubled and out of order, and members stand still and
+// restart, are the same everywhere three syncs later.
+TEST_P(ConvergenceTest, StatesAgreeThreeSyncsAfterFaultsEnd) {
+  const FederationOptions options = Options(3, 4);
+  const Trace trace = Draw(GetParam(), {FaultKind::kLoss, FaultKind::kDelay, FaultKind::kDuplicate,
+                                        FaultKind::kReorder, FaultKind::kStall, FaultKind::kCrash});
+  Federation federation(trace.seed, options);
+  World& world = federation.world();
+  for (const Fault& fault : trace.faults) Inject(world, fault);
+  for (std::size_t i = 0; i < 24; ++i)
+    world.At(seconds(38) + milliseconds(80 * i), [&federation, i] {
+      PoolMember* teller = federation.member(i % federation.size(), i % 2);
+      if (teller) teller->Tell(fleet::Verdict{std::to_string(i), teller->host().Wall() + 19900, 9, 9});
+    });
+  world.RunUntil(seconds(40) + 3 * options.fleet.sync_interval);
+  std::size_t held = 0;
+  for (const std::size_t pool : {kSitePool, kWidePool}) {
+    EXPECT_EQ(Joined(WrongStates(federation, pool)), "") << Write(trace);
+    held += federation.member(0, pool)->state().Verdicts(world.host(0).Wall()).size();
+  }
+  EXPECT_GT(held, 5u);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, ConvergenceTest, testing::Range<std::uint64_t>(1, 13));
+
+// When each of the others holds the dead one as dead, and any live one as dead, which must not happen.
+struct Deaths : Observer {
+  std::map<std::string, Moment> seen;  // by who sees it
+  std::size_t false_deaths = 0;
+  std::string victim;
+  void OnChanged(const PoolMember& by, const fleet::Member& member,
+                 std::optional<fleet::MemberState>) override {
+    if (member.last.state != fleet::MemberState::kDead) return;
+    if (member.last.name == victim)
+      seen.emplace(by.host().Name(), by.host().True());
+    else
+      ++false_deaths;
+  }
+};
+
+class DetectionTest : public testing::TestWithParam<std::size_t> {};
+
+TEST_P(DetectionTest, EveryMemberHoldsADeadOneAsDeadWithinTheBound) {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    Deaths deaths;
+    FederationOptions options = Options(1, GetParam());
+    options.observer = &deaths;
+    options.most_rate_error = 0.01;
+    Federation federation(seed, options);
+    World& world = federation.world();
+    world.RunUntil(seconds(20));
+    EXPECT_EQ(Joined(WrongViews(federation, kSitePool)), "");
+    deaths.victim = world.host(1).Name();
+    world.Crash(1);
+    world.RunUntil(seconds(20) + DetectionBound(MembershipOf(options.fleet), GetParam()));
+    EXPECT_EQ(deaths.seen.size(), GetParam() - 1) << "seed " << seed;
+    EXPECT_EQ(deaths.false_deaths, 0u) << "seed " << seed;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Sizes, DetectionTest, testing::Values(3, 5, 20, 50));
+
+}  // namespace
+}  // namespace brackenspoke::model
