Do not count a push of shared state as passing it on, and let syncs go both ways

At 5 members and 30% loss two of twelve members had missed a verdict. Traced on the model: the push to three members used up three of the four passes that each member has, so that all datagrams but five of a verdict went out within a millisecond and each member that missed it had lost all of the 0 to 6 sent to it. And a member that was asked for its table and lacked a fact sent what it had, but did not ask back.

A push is not counted any more, and who is asked asks back. Each of the two tests fails without its half.

--- a/model/fleet/member.cpp
+++ b/model/fleet/member.cpp
@@ -145,14 +145,24 @@
   if (message.sender.name == host_.Name()) return;
   const fleet::UnixMs now = host_.Wall();
   if (!message.state.is_null() && state_.Receive(now, message.state)) PushState();
-  if (message.kind == Message::Kind::kSync && message.digest != state_.Digest(now))
-    SendState(message.sender.address);
+  if (message.kind != Message::Kind::kSync || message.digest == state_.Digest(now)) return;
+  SendState(message.sender.address);
+  if (message.reply) AskForState(message.sender.address);
+}
+
+// Who is asked may be the one that lacks something.
+void PoolMember::AskForState(const Endpoint& to) {
+  Message message;
+  message.kind = Message::Kind::kSync;
+  message.sender = membership_.self().last;
+  Send(to, message);
 }
 
 void PoolMember::PushState() {
   Message message;
   message.kind = Message::Kind::kState;
   message.sender = membership_.self().last;
+  message.state = state_.Push(host_.Wall(), fleet::RoomFor(options_.section.name, message));
   for (const Endpoint& to : membership_.Sample(kPushFanout)) Send(to, message);
 }
 
--- a/model/fleet/member.h
+++ b/model/fleet/member.h
@@ -92,6 +92,7 @@
   void ReceiveState(const fleet::Message& message);
   void PushState();
   void SendState(const Endpoint& to);
+  void AskForState(const Endpoint& to);
   void AddState(fleet::Message* message);
   void HearOfLease(const fleet::DutyFact& fact);
   std::size_t SizeOf(const fleet::Message& message) const;
--- a/src/fleet/node.cpp
+++ b/src/fleet/node.cpp
@@ -227,8 +227,10 @@
 void Node::ReceiveState(const Message& message) {
   if (stopped_ || !membership_ || message.sender.name == name_) return;
   if (!message.state.is_null() && state_.Receive(UnixMilliseconds(), message.state)) PushState();
-  if (message.kind == Message::Kind::kSync && message.digest != state_.Digest(UnixMilliseconds()))
+  if (message.kind == Message::Kind::kSync && message.digest != state_.Digest(UnixMilliseconds())) {
     SendState(message.sender.address);
+    if (message.reply) AskForState(message.sender.address);
+  }
   // A peer's table that came with the digest of its state, once that is held here, too.
   if (message.kind == Message::Kind::kSync && !message.updates.empty()) joining_digest_ = message.digest;
   if (joined_ || !joining_digest_ || *joining_digest_ != state_.Digest(UnixMilliseconds())) return;
@@ -241,9 +243,18 @@
   Message message;
   message.kind = Message::Kind::kState;
   message.sender = membership_->self().last;
+  message.state = state_.Push(UnixMilliseconds(), RoomFor(section_.name, message));
   for (const Udp::endpoint& to : membership_->Sample(kPushFanout)) Send(to, message);
 }
 
+// Who is asked may be the one that lacks something.
+void Node::AskForState(const Udp::endpoint& to) {
+  Message message;
+  message.kind = Message::Kind::kSync;
+  message.sender = membership_->self().last;
+  Send(to, message);
+}
+
 // All that is held, in as many messages as it takes.
 void Node::SendState(const Udp::endpoint& to) {
   Message message;
--- a/src/fleet/node.h
+++ b/src/fleet/node.h
@@ -114,6 +114,7 @@
   void ReportDrops();
   void ReceiveState(const Message& message);
   void SendState(const Udp::endpoint& to);
+  void AskForState(const Udp::endpoint& to);
   void PushState();
   void AddState(Message* message);
   void TakenFact(const DutyFact& fact);
--- a/src/fleet/state.cpp
+++ b/src/fleet/state.cpp
@@ -218,20 +218,31 @@
   return new_verdict;
 }
 
-json SharedState::Fill(UnixMs now, std::size_t room, int most_transmits) {
-  Expire(now);
+json SharedState::Take(std::size_t room, std::vector<Key>* taken) const {
   json packed = json::array();
   if (room < kArrayBytes) return packed;
   room -= kArrayBytes;
-  std::vector<Key> taken;
   for (const auto& [transmits, key] : to_pass_on_) {
     json one = Pack(held_.at(key).entry);
     const std::size_t size = PackedSize(one);
     if (size > room) break;
     room -= size;
     packed.push_back(std::move(one));
-    taken.push_back(key);
+    taken->push_back(key);
   }
+  return packed;
+}
+
+json SharedState::Push(UnixMs now, std::size_t room) {
+  Expire(now);
+  std::vector<Key> taken;
+  return Take(room, &taken);
+}
+
+json SharedState::Fill(UnixMs now, std::size_t room, int most_transmits) {
+  Expire(now);
+  std::vector<Key> taken;
+  json packed = Take(room, &taken);
   for (const Key& key : taken) {
     Held& held = held_.at(key);
     to_pass_on_.erase({held.transmits, key});
--- a/src/fleet/state.h
+++ b/src/fleet/state.h
@@ -99,6 +99,9 @@
 
   // Entries that have been passed on fewer than `most_transmits` times, as far as they fit in `room` bytes.
   nlohmann::json Fill(UnixMs now, std::size_t room, int most_transmits);
+  // The same for a push: what goes out to several members at one moment is one loss away from none, and is
+  // not counted as passed on.
+  nlohmann::json Push(UnixMs now, std::size_t room);
   // Everything, in pieces of at most `room` bytes each.
   std::vector<nlohmann::json> All(UnixMs now, std::size_t room);
   // The same at members that hold the same (xxHash of the versions).
@@ -125,6 +128,8 @@
   void Expire(UnixMs now);
   void Put(Entry entry);
   void Drop(const Key& key);
+  // Packs entries that are to be passed on, those first that have been least; `taken` gets their keys.
+  nlohmann::json Take(std::size_t room, std::vector<Key>* taken) const;
   std::optional<Refusal> JudgeDuty(UnixMs now, const DutyFact& fact, const Version& version) const;
   // Nothing if the entry is to be taken.
   std::optional<Refusal> Judge(UnixMs now, const Entry& entry) const;
--- a/tests/model/fleet_test.cpp
+++ b/tests/model/fleet_test.cpp
@@ -135,5 +135,52 @@
 
 INSTANTIATE_TEST_SUITE_P(Sizes, DetectionTest, testing::Values(3, 5, 20, 50));
 
+struct Takers : Observer {
+  std::size_t taken = 0;
+  void OnTaken(const PoolMember&, const fleet::Entry&) override { ++taken; }
+};
+
+// Verdicts of 2 s in fleets of five with 30% loss: of what is pushed and passed on, docs/fleet.md bounds the
+// share of members that none reaches at 0.5%. Counted as passes, the pushes left 3% without.
+TEST(VerdictTest, FewMembersMissAShortVerdictUnderLoss) {
+  constexpr std::size_t kVerdicts = 500, kMembers = 5;
+  Takers takers;
+  for (std::uint64_t seed = 1; seed <= kVerdicts; ++seed) {
+    FederationOptions options = Options(1, kMembers);
+    options.observer = &takers;
+    Federation federation(seed, options);
+    World& world = federation.world();
+    world.RunUntil(seconds(5));
+    options.link.loss = 0.3;
+    world.network().SetDefault(options.link);
+    federation.member(0, kSitePool)->Tell(fleet::Verdict{"s-1", world.host(0).Wall() + 2000, 9, 9});
+    world.RunUntil(seconds(7));
+  }
+  const std::size_t missed = kVerdicts * (kMembers - 1) - takers.taken;
+  EXPECT_LE(missed, kVerdicts * (kMembers - 1) / 100) << missed;
+}
+
+// A member that lacks something gets it, too, when it is the one that is asked: here it asks itself only 3 s
+// later.
+TEST(SyncTest, GoesBothWays) {
+  FederationOptions options = Options(1, 2);
+  options.fleet.sync_interval = seconds(10);
+  Takers takers;
+  options.observer = &takers;
+  Federation federation(1, options);
+  World& world = federation.world();
+  world.RunUntil(seconds(3));
+  world.Restart(1);
+  world.RunUntil(seconds(5));
+  const auto cut = world.network().Cut({0}, {1});
+  federation.member(0, kSitePool)->Tell(fleet::Verdict{"s-1", world.host(0).Wall() + 19000, 9, 9});
+  world.RunUntil(seconds(7));
+  world.network().End(cut);
+  world.RunUntil(milliseconds(9900));
+  EXPECT_EQ(takers.taken, 0u);
+  world.RunUntil(milliseconds(10100));
+  EXPECT_EQ(takers.taken, 1u);
+}
+
 }  // namespace
 }  // namespace brackenspoke::model
