--- a/model/fleet/member.cpp
+++ b/model/fleet/member.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "brackenspoke/balancer.h"
+#include "fleet/wire/codec.h"
 
 namespace brackenspoke::model {
 namespace {
@@ -55,22 +56,31 @@
       state_(StateOf(options_.section, host.Name()), static_cast<fleet::SharedState::Host&>(*this)),
       allowance_(options_.section.most_bytes_per_second),
       allowed_at_(host.Now()),
-      membership_(MembershipOf(options_, host), host.Now(), static_cast<fleet::Membership::Outlet&>(*this)) {
+      membership_(MembershipOf(options_, host), host.Now(), static_cast<fleet::Membership::Outlet&>(*this)),
+      votes_(host.Disk(), options_.pool) {
   if (options_.section.lease_term.count() > 0) StartLeases();
 }
 
 void PoolMember::StartLeases() {
   fleet::LeaseOptions of;
-  of.holder = host_.Name() + "/" + std::to_string(membership_.self().last.incarnation);
+  of.holder = Holder();
   of.address = host_.Address();
   of.voters = options_.section.seeds;
   of.term = options_.section.lease_term;
   of.drift = options_.section.lease_drift;
   of.duties = options_.duties;
   of.seed = options_.seed;
+  of.votes = votes_.Load();
+  of.store = &votes_;
   leases_.emplace(std::move(of), host_.Now(), static_cast<fleet::Leases::Outlet&>(*this));
 }
 
+// The name and a mark of this life.
+std::string PoolMember::Holder() const {
+  std::string holder = host_.Name();
+  return holder.append("/").append(std::to_string(options_.seed));
+}
+
 void PoolMember::Receive(const Packet&, const Message& message) {
   membership_.Receive(host_.Now(), message);
   ReceiveState(message);
@@ -214,8 +224,7 @@
                         std::string_view) {
   if (options_.observer) options_.observer->OnRole(*this, duty, role, token, left);
   if (role != fleet::Role::kHolder) return;
-  const auto holder = host_.Name() + "/" + std::to_string(membership_.self().last.incarnation);
-  Publish(duty, "lease/" + duty, {{"holder", holder}, {"left_ms", Milliseconds(left)}}, left);
+  Publish(duty, "lease/" + duty, {{"holder", Holder()}, {"left_ms", Milliseconds(left)}}, left);
 }
 
 }  // namespace brackenspoke::model
--- a/model/fleet/member.h
+++ b/model/fleet/member.h
@@ -11,10 +11,12 @@
 #include <string_view>
 #include <vector>
 
-#include "fleet/lease.h"
-#include "fleet/membership.h"
+#include "fleet/lease/leases.h"
+#include "fleet/membership/membership.h"
 #include "fleet/section.h"
-#include "fleet/state.h"
+#include "fleet/state/state.h"
+#include "fleet/wire/message.h"
+#include "model/fleet/votes.h"
 #include "model/program.h"
 
 namespace brackenspoke::model {
@@ -42,9 +44,9 @@
   fleet::FleetSection section;  // as the configuration has it; `bind` and `advertise` are not read
   std::size_t pool = 0;
   std::size_t site = 0;
-  std::vector<std::string> duties;  // with leases: section.lease_term over zero
-  std::uint64_t seed = 0;           // of this life
-  Observer* observer = nullptr;     // null: none; outlives the member
+  std::vector<fleet::DutySpec> duties;  // with leases: section.lease_term over zero
+  std::uint64_t seed = 0;               // of this life
+  Observer* observer = nullptr;         // null: none; outlives the member
 };
 
 class PoolMember : private fleet::Membership::Outlet,
@@ -70,6 +72,8 @@
   // Null: none are wanted.
   const fleet::Leases* leases() const { return leases_ ? &*leases_ : nullptr; }
   bool Holds(const std::string& duty) const;
+  // Times that a voter refused for a reason that an operator has to mend.
+  std::uint64_t failures() const { return failures_; }
   fleet::SharedState& state() { return state_; }
   std::uint64_t throttled() const { return throttled_; }
 
@@ -87,8 +91,10 @@
   void Send(const Endpoint& to, const fleet::LeaseMessage& lease) override;
   void OnRole(const std::string& duty, fleet::Role role, fleet::Token token, Span left,
               std::string_view why) override;
+  void OnFailure(const Failure&) override { ++failures_; }
 
   void StartLeases();
+  std::string Holder() const;
   void ReceiveState(const fleet::Message& message);
   void PushState();
   void SendState(const Endpoint& to);
@@ -103,8 +109,9 @@
   fleet::SharedState state_;
   double allowance_;  // bytes that may be sent now
   Time allowed_at_;
-  std::uint64_t throttled_ = 0;
+  std::uint64_t throttled_ = 0, failures_ = 0;
   fleet::Membership membership_;
+  DiskVotes votes_;
   std::optional<fleet::Leases> leases_;
 };
 
