--- a/src/fleet/node/state_exchange.h
+++ b/src/fleet/node/state_exchange.h
@@ -55,6 +55,7 @@
   Message FromHere() const;
   void Push();
   void SendAll(const Udp::endpoint& to);
+  void AskForState(const Udp::endpoint& to);
   bool MayLogRefusal();
 
   const std::string fleet_, name_, component_;
