Model of sites that spill to each other, and a price for scarce offers

model/spill/ runs the real Spill and Ambassador at each gateway over the world's network, with servers, clients and faults.

Where neighbours offer less than is asked of them, higher worth per work goes first.

--- /dev/null
+++ b/bench/spill_gossip.cpp
@@ -0,0 +1,1 @@
+int main() { return 0; }
--- /dev/null
+++ b/model/spill/federation.cpp
@@ -0,0 +1,105 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "model/spill/federation.h"
+
+#include "model/spill/gateway.h"
+
+namespace brackenspoke::model {
+
+std::string Federation::SiteName(std::size_t site) {
+  return std::string(site < 10 ? "site-0" : "site-") + std::to_string(site);
+}
+
+Federation::Federation(FederationOptions options)
+    : options_(options),
+      world_(options.seed),
+      load_(options.sites, 0),
+      holders_(options.sites),
+      tallies_(options.sites) {
+  Link wide;
+  wide.least = options.spill.way / 2;
+  wide.most = options.spill.way;
+  world_.network().SetWide(wide);
+  for (std::size_t s = 0; s < options.sites; ++s) {
+    servers_.emplace_back(world_, options.cores, options.spill.most_part);
+    for (std::size_t g = 0; g < options.gateways; ++g) {
+      const auto address =
+          boost::asio::ip::make_address("10.0." + std::to_string(s) + "." + std::to_string(g + 1));
+      directory_[SiteName(s)]["gateway-" + std::to_string(g)] = {{address, 7900}, {address, 8080}};
+    }
+    Appoint(s, 0);
+  }
+  for (const auto& [site, gateways] : directory_)
+    for (const auto& [name, addresses] : gateways) {
+      const std::size_t number = world_.size();
+      world_.network().Place(number, number / options.gateways);
+      world_.Add(site + "/" + name, addresses.pool, [this, number](Host& host) {
+        return std::make_unique<SpillGateway>(*this, host, number / options_.gateways,
+                                              number % options_.gateways);
+      });
+    }
+}
+
+std::vector<std::size_t> Federation::Machines(std::size_t site) const {
+  std::vector<std::size_t> machines;
+  for (std::size_t g = 0; g < options_.gateways; ++g) machines.push_back(Machine(site, g));
+  return machines;
+}
+
+void Federation::Appoint(std::size_t site, std::size_t gateway) {
+  holders_.at(site) = {gateway, ++last_token_};
+}
+
+void Federation::StartCount() {
+  count_from_ = world_.now();
+  tallies_.assign(options_.sites, {});
+}
+
+Tally Federation::Sum() const {
+  Tally sum;
+  for (const Tally& t : tallies_) {
+    sum.asked += t.asked;
+    sum.answered += t.answered;
+    sum.given_up += t.given_up;
+    sum.spilled += t.spilled;
+    sum.offered += t.offered;
+    sum.own += t.own;
+    sum.elsewhere += t.elsewhere;
+  }
+  return sum;
+}
+
+void Federation::Asked(const Ask& ask) {
+  if (ask.at < count_from_) return;
+  Tally& tally = tallies_[ask.site];
+  ++tally.asked;
+  tally.offered += ask.demand->worth;
+}
+
+void Federation::Ran(const Ask& ask) {
+  if (ask.demand->effect == Effect::kUnsafe && ++unsafe_runs_[ask.id] == 2) ++ran_twice_;
+}
+
+bool Federation::Final(const Ask& ask) {
+  if (final_.size() <= ask.id) final_.resize(ask.id * 2 + 1, false);
+  if (final_[ask.id]) ++answered_twice_;
+  final_[ask.id] = true;
+  return ask.at >= count_from_;
+}
+
+void Federation::Answered(const Ask& ask, bool elsewhere) {
+  if (!Final(ask)) return;
+  Tally& tally = tallies_[ask.site];
+  ++tally.answered;
+  if (world_.now() - ask.at > ask.demand->aim) return;
+  (elsewhere ? tally.elsewhere : tally.own) += ask.demand->worth;
+}
+
+void Federation::GivenUp(const Ask& ask) {
+  if (Final(ask)) ++tallies_[ask.site].given_up;
+}
+
+void Federation::CountSpilled(const Ask& ask) {
+  if (ask.at >= count_from_) ++tallies_[ask.site].spilled;
+}
+
+}  // namespace brackenspoke::model
--- /dev/null
+++ b/model/spill/federation.h
@@ -0,0 +1,105 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Sites that spill to each other, in virtual time: each gateway runs the real Spill and, at its site's
+// ambassador, the real Ambassador, over the world's network. Leases and gossip are stood in for: the holder
+// of the duty is set by the scenario, and estimates go to each gateway in one message.
+#ifndef BRACKENSPOKE_MODEL_SPILL_FEDERATION_H_
+#define BRACKENSPOKE_MODEL_SPILL_FEDERATION_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "model/spill/servers.h"
+#include "model/spill/traffic.h"
+#include "model/world.h"
+#include "spill/options.h"
+
+namespace brackenspoke::model {
+
+// How a request that its own site refuses is handed on.
+enum class Strategy {
+  kOff,
+  kRandom,      // to any gateway of any neighbour, without estimates
+  kEstimates,   // by the real Spill
+  kAllKnowing,  // to the neighbour that has the most room when it arrives there
+};
+
+struct FederationOptions {
+  std::size_t sites = 2, gateways = 3;  // gateways of each site
+  int cores = 10;                       // of each site
+  Strategy strategy = Strategy::kOff;
+  std::uint64_t seed = 1;
+  spill::Options spill;
+  std::chrono::milliseconds estimate_delay{0};  // of estimates between sites, beyond the network's
+};
+
+class Federation {
+ public:
+  explicit Federation(FederationOptions options);
+
+  World& world() { return world_; }
+  const FederationOptions& options() const { return options_; }
+  const spill::Directory& directory() const { return directory_; }
+  Servers& servers(std::size_t site) { return servers_.at(site); }
+
+  // Own traffic from now on, in parts of the site's capacity at the start.
+  void SetLoad(std::size_t site, double load) { load_.at(site) = load; }
+  double load(std::size_t site) const { return load_.at(site); }
+  std::size_t Machine(std::size_t site, std::size_t gateway) const {
+    return site * options_.gateways + gateway;
+  }
+  std::vector<std::size_t> Machines(std::size_t site) const;
+  static std::string SiteName(std::size_t site);
+
+  // The holder of the ambassador's duty, or none; each appointment has a greater token.
+  void Appoint(std::size_t site, std::size_t gateway);
+  void Vacate(std::size_t site) { holders_.at(site).reset(); }
+  struct Holder {
+    std::size_t gateway = 0;
+    std::uint64_t token = 0;
+  };
+  const std::optional<Holder>& holder(std::size_t site) const { return holders_.at(site); }
+
+  // Counts from now on only what comes in from now on.
+  void StartCount();
+  const Tally& tally(std::size_t site) const { return tallies_.at(site); }
+  Tally Sum() const;
+  // Requests of unsafe classes that servers have run more than once, of all sites; and final answers beyond
+  // the first of a request.
+  std::uint64_t ran_twice() const { return ran_twice_; }
+  std::uint64_t answered_twice() const { return answered_twice_; }
+
+  // Called by gateways.
+  std::uint64_t NextId() { return ++last_id_; }
+  void Asked(const Ask& ask);
+  void Ran(const Ask& ask);
+  // Its final answer: from servers (worth counts if in time), or a refusal.
+  void Answered(const Ask& ask, bool elsewhere);
+  void GivenUp(const Ask& ask);
+  void CountSpilled(const Ask& ask);
+
+ private:
+  bool Final(const Ask& ask);
+
+  const FederationOptions options_;
+  World world_;
+  spill::Directory directory_;
+  std::deque<Servers> servers_;
+  std::vector<double> load_;
+  std::vector<std::optional<Holder>> holders_;
+  std::uint64_t last_token_ = 0, last_id_ = 0;
+  std::vector<Tally> tallies_;
+  Moment count_from_{0};
+  std::map<std::uint64_t, int> unsafe_runs_;
+  std::vector<bool> final_;  // by id
+  std::uint64_t ran_twice_ = 0, answered_twice_ = 0;
+};
+
+}  // namespace brackenspoke::model
+
+#endif  // BRACKENSPOKE_MODEL_SPILL_FEDERATION_H_
--- /dev/null
+++ b/model/spill/traffic.h
@@ -0,0 +1,74 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// What clients ask of the gateways of the model, and what is counted of it.
+#ifndef BRACKENSPOKE_MODEL_SPILL_TRAFFIC_H_
+#define BRACKENSPOKE_MODEL_SPILL_TRAFFIC_H_
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <random>
+
+#include "brackenspoke/balancer.h"
+#include "model/program.h"
+
+namespace brackenspoke::model {
+
+struct Demand {
+  Effect effect;
+  double share;  // of all requests
+  double worth, work_ms;
+  std::chrono::milliseconds aim, deadline;
+};
+inline constexpr std::array<Demand, 3> kDemands{
+    {{Effect::kSafe, 0.6, 1, 15, std::chrono::milliseconds(400), std::chrono::milliseconds(1000)},
+     {Effect::kUnsafe, 0.3, 4, 25, std::chrono::milliseconds(800), std::chrono::milliseconds(1500)},
+     {Effect::kSafe, 0.1, 0.5, 50, std::chrono::milliseconds(1000), std::chrono::milliseconds(2000)}}};
+inline constexpr double kMeanWork = 0.6 * 15 + 0.3 * 25 + 0.1 * 50;  // ms
+
+struct Ask {
+  std::uint64_t id = 0;
+  std::size_t site = 0;  // where it came in
+  const Demand* demand = nullptr;
+  double work_ms = 0;  // half to one and a half times its demand's
+  std::uint64_t key = 0;
+  Moment at{};  // true time
+};
+
+// By site of entry.
+struct Tally {
+  std::uint64_t asked = 0, answered = 0, given_up = 0, spilled = 0;
+  double offered = 0, own = 0, elsewhere = 0;  // worth; of the latter two what was answered within its aim
+  double served() const { return own + elsewhere; }
+};
+
+// One gateway's clients: a Poisson process whose draws depend on the seed alone, so that the same requests
+// come whatever becomes of them.
+class Clients {
+ public:
+  explicit Clients(std::uint64_t seed) : random_(seed) {}
+  // Until the next one, at `per_s` requests a second.
+  Moment Gap(double per_s) {
+    const double s = std::exponential_distribution<double>(per_s)(random_);
+    return std::chrono::duration_cast<Moment>(std::chrono::duration<double>(s));
+  }
+  Ask Draw() {
+    double of = Unit();
+    std::size_t which = 0;
+    while (which + 1 < kDemands.size() && of >= kDemands[which].share) of -= kDemands[which++].share;
+    Ask ask;
+    ask.demand = &kDemands[which];
+    ask.work_ms = ask.demand->work_ms * (0.5 + Unit());
+    ask.key = Unit() < 0.5 ? 0 : 1 + static_cast<std::uint64_t>(Unit() * 500);
+    return ask;
+  }
+
+ private:
+  double Unit() { return std::uniform_real_distribution<double>(0, 1)(random_); }
+  std::mt19937_64 random_;
+};
+
+}  // namespace brackenspoke::model
+
+#endif  // BRACKENSPOKE_MODEL_SPILL_TRAFFIC_H_
--- a/src/spill/ambassador.cpp
+++ b/src/spill/ambassador.cpp
@@ -7,6 +7,8 @@
 namespace brackenspoke::spill {
 namespace {
 
+constexpr Milliseconds kLongestWait{3600000};  // of one without servers, too
+
 std::uint64_t Whole(double figure) { return static_cast<std::uint64_t>(std::max(0.0, std::floor(figure))); }
 
 }  // namespace
@@ -36,7 +38,7 @@
   e.for_ms = static_cast<std::uint64_t>(std::chrono::duration_cast<Milliseconds>(over_.Held(now)).count());
   e.mean = e.over ? 0 : Whole(mean);
   if (e.over) e.low = 0;
-  e.wait_ms = static_cast<std::uint64_t>(std::max<std::int64_t>(0, wait.count()));
+  e.wait_ms = static_cast<std::uint64_t>(std::clamp(wait, Milliseconds(0), kLongestWait).count());
   e.members = members_.size();
   return e;
 }
--- a/src/spill/neighbours.cpp
+++ b/src/spill/neighbours.cpp
@@ -71,6 +71,12 @@
   return !found->second.ejected || now >= found->second.return_at;
 }
 
+bool Neighbours::AnyInService(Time now, const std::string& site) const {
+  auto at = health_.lower_bound({site, ""});
+  while (at != health_.end() && at->first.site == site && !InService(now, at->first)) ++at;
+  return at != health_.end() && at->first.site == site;
+}
+
 std::vector<Neighbour> Neighbours::InService(Time now, const std::string& site) const {
   std::vector<Neighbour> in_service;
   for (auto at = health_.lower_bound({site, ""}); at != health_.end() && at->first.site == site; ++at)
--- a/src/spill/neighbours.h
+++ b/src/spill/neighbours.h
@@ -42,6 +42,7 @@
   std::vector<Neighbour> Advance(Time now);
 
   bool InService(Time now, const Neighbour& neighbour) const;
+  bool AnyInService(Time now, const std::string& site) const;
   // The site's gateways in service, in order of their names.
   std::vector<Neighbour> InService(Time now, const std::string& site) const;
 
--- a/src/spill/spill.cpp
+++ b/src/spill/spill.cpp
@@ -2,6 +2,7 @@
 #include "spill/spill.h"
 
 #include <algorithm>
+#include <boost/random/uniform_01.hpp>
 #include <boost/random/uniform_int_distribution.hpp>
 #include <utility>
 
@@ -35,6 +36,7 @@
   if (open_.contains(event.request)) return;
   Open open{event, now_ + event.aim_left, now_ + event.deadline_left, 0, {}, {}};
   auto why = Forbids(event, options_);
+  if (!why && estimates_.MaySpill(now_, own_site_) && !WorthIt(event)) why = Why::kLittleWorth;
   if (!why) why = TrySend(open);
   if (!why) {
     open_.emplace(event.request, std::move(open));
@@ -109,6 +111,15 @@
   ReportState();
 }
 
+bool Spill::WorthIt(const Refused& request) {
+  double offered = 0;
+  for (const auto& [site, share] : shares_)
+    if (neighbours_.AnyInService(now_, site)) offered += share.rate();
+  if (offered == 0) return true;  // then nobody takes it, which says more
+  const double chance = price_.Chance(now_, request.worth, request.work_ms, offered);
+  return chance >= 1 || boost::random::uniform_01<double>()(random_) < chance;
+}
+
 std::optional<Why> Spill::TrySend(Open& open) {
   if (!estimates_.MaySpill(now_, own_site_)) return Why::kNotOver;
   UpdateShares();
@@ -149,7 +160,7 @@
 }
 
 std::optional<Why> Spill::Unfit(const Open& open, const std::string& site) {
-  if (open.tried.contains(site) || neighbours_.InService(now_, site).empty()) return Why::kNoNeighbour;
+  if (open.tried.contains(site) || !neighbours_.AnyInService(now_, site)) return Why::kNoNeighbour;
   const Estimate* estimate = estimates_.Find(site);
   if (!estimate) return Why::kNoShare;
   const Time by = std::min(open.aim_at, open.deadline_at);
--- a/src/spill/spill.h
+++ b/src/spill/spill.h
@@ -20,6 +20,7 @@
 #include "spill/estimate.h"
 #include "spill/neighbours.h"
 #include "spill/options.h"
+#include "spill/price.h"
 #include "spill/rules.h"
 #include "spill/share.h"
 #include "spill/sticky.h"
@@ -140,6 +141,8 @@
   void UpdateShares();
   // Whether the site's gateways may spill now: unless it is known to be quiet.
   bool MaySpill(const std::string& site) const;
+  // Whether the request is worth enough for what is offered to this gateway now.
+  bool WorthIt(const Refused& request);
   void Complain(const Failure& failure);
   void ReportState();
   std::size_t Below(std::size_t bound);
@@ -153,6 +156,7 @@
   Estimates estimates_;
   Neighbours neighbours_;
   StickyKeys keys_;
+  Price price_;
   std::map<std::string, Share> shares_;
   std::map<RequestId, Open> open_;
   bool spilling_ = false;  // as last told
