Catch SIGTERM from the start on, not only after the start line

Harness.SignalsByIdAndTheOthersGoOn failed once in three whole runs with eight tests at once: a proxy was ended by SIGTERM itself (status 1015 in place of 0). main.cpp wrote the line that tells of the start, and caught SIGTERM only afterwards; whoever read the line and signalled at once met the default action, which drops what the process has taken. Both signal sets are now made before the configuration is read; a signal that comes early waits until it is listened for.

--- a/src/proxy/main.cpp
+++ b/src/proxy/main.cpp
@@ -74,7 +74,8 @@
   log::Start(options.format, "");
   try {
     boost::asio::io_context io(1);
-    boost::asio::signal_set hangups(io, SIGHUP);  // from here on it does not end the process
+    // From here on none of them ends the process by itself; what comes early waits until it is listened for.
+    boost::asio::signal_set hangups(io, SIGHUP), ends(io, SIGTERM, SIGINT);
     proxy::Config config = proxy::LoadConfig(env);
     log::Start(options.format, config.name);
     for (const std::string& unknown : proxy::UnknownTopKeys(*config.file)) log::Warn("config", unknown);
@@ -84,8 +85,7 @@
     log::Info("process", "started: clients at " + clients + " once servers are listed" +
                              (called ? ", operators at " + Text(running.operators_address()) : ""));
     FollowConfig(hangups, running, env);
-    boost::asio::signal_set signals(io, SIGTERM, SIGINT);
-    signals.async_wait([&](const boost::system::error_code& failed, int) {
+    ends.async_wait([&](const boost::system::error_code& failed, int) {
       if (!failed) running.Stop([&] { io.stop(); });
     });
     Run(io);
