--- a/tests/fleet/cluster.h
+++ b/tests/fleet/cluster.h
@@ -6,7 +6,6 @@
 #define BRACKENSPOKE_TESTS_FLEET_CLUSTER_H_
 
 #include <boost/asio/ip/udp.hpp>
-#include <deque>
 #include <functional>
 #include <sstream>
 
@@ -19,18 +18,6 @@
 
 inline std::string Host(unsigned short port) { return "127.0.0.1:" + std::to_string(port); }
 
-// Free UDP ports, all at once so that none comes twice.
-inline std::vector<unsigned short> FreeUdpPorts(std::size_t count) {
-  boost::asio::io_context io;
-  std::deque<Udp::socket> held;
-  std::vector<unsigned short> ports;
-  while (ports.size() < count) {
-    held.emplace_back(io, Udp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
-    ports.push_back(held.back().local_endpoint().port());
-  }
-  return ports;
-}
-
 class Cluster {
  public:
   // `section` holds keys of the fleet section in place of the defaults; the first `seeds` members are the
@@ -38,11 +25,11 @@
   Cluster(std::size_t count, nlohmann::json section,
           nlohmann::json config = ConfigJson(Tcp::endpoint(kAnyPort.address(), 9), {}),
           const std::function<void(std::size_t, nlohmann::json&)>& edit = NoEdit, std::size_t seeds = 2)
-      : binds_(FreeUdpPorts(count)), relay_(RELAY_PATH, Routes(binds_)), fleet_(PROXY_PATH) {
+      : binds_(count), relay_(RELAY_PATH, Routes(binds_)), fleet_(PROXY_PATH) {
     for (std::size_t i = 0; i < std::min(seeds, count); ++i)
       section["seeds"].push_back(Host(relay_.Port(Name(i))));
     for (std::size_t i = 0; i < count; ++i) {
-      section["bind"] = Host(binds_[i]);
+      section["bind"] = Host(bind(i));
       section["advertise"] = Host(relay_.Port(Name(i)));
       config["fleet"] = section;
       nlohmann::json own = config;
@@ -62,14 +49,14 @@
   std::size_t size() const { return fleet_.size(); }
   void Restart(std::size_t index) { fleet_.Restart(index); }
   std::string Relay(const std::string& line) const { return relay_.Say(line); }
-  unsigned short bind(std::size_t index) const { return binds_.at(index); }
+  unsigned short bind(std::size_t index) const { return binds_.at(index).port(); }
 
   // No datagram passes between a member of `some` and one that is not, either way.
   void Cut(const std::vector<std::size_t>& some) {
     const auto within = [&](std::size_t i) { return std::find(some.begin(), some.end(), i) != some.end(); };
     for (std::size_t to = 0; to < size(); ++to)
       for (std::size_t from = 0; from < size(); ++from)
-        if (within(to) != within(from)) Relay("FAULT " + Name(to) + " from=" + Host(binds_[from]) + " cut=1");
+        if (within(to) != within(from)) Relay("FAULT " + Name(to) + " from=" + Host(bind(from)) + " cut=1");
   }
   void Heal() const { Relay("CLEAR *"); }
 
@@ -133,14 +120,14 @@
   }
 
  private:
-  static std::vector<std::string> Routes(const std::vector<unsigned short>& binds) {
+  static std::vector<std::string> Routes(const std::vector<LeasedPort>& binds) {
     std::vector<std::string> routes;
     for (std::size_t i = 0; i < binds.size(); ++i)
-      routes.push_back(Name(i) + "=udp:127.0.0.1:0=" + Host(binds[i]));
+      routes.push_back(Name(i) + "=udp:127.0.0.1:0=" + Host(binds[i].port()));
     return routes;
   }
 
-  std::vector<unsigned short> binds_;
+  std::vector<LeasedPort> binds_;
   class Relay relay_;
   Fleet fleet_;
 };
--- a/tests/fleet/harness.h
+++ b/tests/fleet/harness.h
@@ -32,6 +32,8 @@
 #include <thread>
 #include <vector>
 
+#include "leased_port.h"
+
 extern char** environ;
 
 namespace brackenspoke::testing::fleet {
@@ -197,18 +199,10 @@
           static_cast<unsigned short>(std::stoi(rest.substr(colon + 1)))};
 }
 
-// A port that nobody listened on a moment ago. The operators' address is taken by the process itself (port
-// 0); the clients' cannot be, as a proxy opens it only once discovery has listed servers.
-inline unsigned short FreePort() {
-  boost::asio::io_context io;
-  return Tcp::acceptor(io, Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0))
-      .local_endpoint()
-      .port();
-}
-
 // One process of the proxy: its folder, its configuration file, and the addresses it took.
 struct Member {
   std::string name;
+  LeasedPort listen;  // a proxy opens it only once discovery has listed servers, and says it before that
   std::unique_ptr<Folder> folder;
   std::unique_ptr<Process> process;
   Tcp::endpoint clients, operators;
@@ -228,14 +222,9 @@
     member.folder = std::make_unique<Folder>();
     config["name"] = member.name;
     config["ops"] = "127.0.0.1:0";
-    for (int tries = 1;; ++tries) {
-      config["listen"] = "127.0.0.1:" + std::to_string(FreePort());
-      std::ofstream(member.folder->path / "config.json") << config.dump();
-      if (Launch(member)) break;
-      // Somebody else may have taken the port meanwhile.
-      if (tries == 5 || !member.process->WaitFor("Address already in use"))
-        throw std::runtime_error(member.name + " did not start");
-    }
+    config["listen"] = "127.0.0.1:" + std::to_string(member.listen.port());
+    std::ofstream(member.folder->path / "config.json") << config.dump();
+    if (!Launch(member)) throw std::runtime_error(member.name + " did not start");
     members_.push_back(std::move(member));
     return members_.size() - 1;
   }
--- a/tests/fleet/state_test.cpp
+++ b/tests/fleet/state_test.cpp
@@ -7,6 +7,7 @@
 #include <gtest/gtest.h>
 
 #include <atomic>
+#include <deque>
 
 #include "cluster.h"
 #include "fleet/message.h"
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -12,6 +12,7 @@
 #include <fstream>
 #include <map>
 
+#include "leased_port.h"
 #include "loopback.h"
 
 namespace brackenspoke::testing {
@@ -140,12 +141,6 @@
   EXPECT_NE(odd.Wait(), 0);
 }
 
-// A port that was free a moment ago; the child says nothing of the one it took.
-Tcp::endpoint FreePort() {
-  asio::io_context io;
-  return Tcp::acceptor(io, kAnyPort).local_endpoint();
-}
-
 unsigned ReadyStatus(const Tcp::endpoint& address) {
   try {
     Client client(address);
@@ -168,7 +163,8 @@
   FakeDiscovery discovery;
   const ConfigFile file(
       ConfigJson(discovery.address(), Members(MemberJson("s-1", backend.address()))).dump());
-  const auto address = FreePort();
+  const LeasedPort port;
+  const auto address = port.tcp();
   const std::map<std::string, std::string> env{
       {"ROUTER_CONFIG", file.path}, {"ROUTER_LISTEN", "127.0.0.1:" + std::to_string(address.port())}};
   for (const int signal : {SIGTERM, SIGKILL, SIGTERM}) {
@@ -192,7 +188,8 @@
     return ConfigJson(discovery, Members(MemberJson("s-1", backend.address()))).dump();
   };
   const ConfigFile file(config(before.address()));
-  const auto address = FreePort();
+  const LeasedPort port;
+  const auto address = port.tcp();
   Child child({{"ROUTER_CONFIG", file.path},
                {"ROUTER_LISTEN", "127.0.0.1:" + std::to_string(address.port())},
                {"ROUTER_DISCOVERY", "127.0.0.1:" + std::to_string(before.address().port())}});
@@ -222,7 +219,8 @@
   FakeDiscovery discovery;
   const ConfigFile file(
       ConfigJson(discovery.address(), Members(MemberJson("s-1", backend.address()))).dump());
-  const auto address = FreePort();
+  const LeasedPort port;
+  const auto address = port.tcp();
   Child child(
       {{"ROUTER_CONFIG", file.path}, {"ROUTER_LISTEN", "127.0.0.1:" + std::to_string(address.port())}},
       /*descriptors=*/24);
@@ -241,7 +239,8 @@
 TEST(Process, AnswersOperatorsWithItsDescriptorsUsedUpByClients) {
   Backend backend;
   FakeDiscovery discovery;
-  const auto address = FreePort(), operators = FreePort();
+  const LeasedPort clients_port, operators_port;
+  const auto address = clients_port.tcp(), operators = operators_port.tcp();
   auto config = ConfigJson(discovery.address(), Members(MemberJson("s-1", backend.address())));
   config["ops"] = "127.0.0.1:9";  // the environment goes before it
   const ConfigFile file(config.dump());
@@ -301,7 +300,9 @@
   nlohmann::json config = ConfigJson(
       discovery.address(), Members(MemberJson("s-1", one.address()), MemberJson("s-2", two.address())));
   Folder folder;
-  const Tcp::endpoint address = FreePort(), old_operators = FreePort(), new_operators = FreePort();
+  const LeasedPort ports[3];
+  const Tcp::endpoint address = ports[0].tcp(), old_operators = ports[1].tcp(),
+                      new_operators = ports[2].tcp();
   std::unique_ptr<ConfigFile> file;
 };
 
