Break a silent watch after 3.5 s, so that a slow answer comes before it counts as told

What a silent watch misses counts as told 6 s after it fell silent. The watch was broken after 4.5 s without a byte; with the pause of up to 0.5 s where discovery is asked, and a call that discovery answers only after the 2 s for which it lets calls wait, the list came after up to 7.0 s, a second too late (the drain's grace hid it). Now the sum is at most 6.0 s, and a heartbeat (every 2 s) may still be 1.5 s late.

--- a/src/proxy/discovery.h
+++ b/src/proxy/discovery.h
@@ -26,7 +26,10 @@
     boost::asio::ip::tcp::endpoint address;
     std::uint64_t revision = 0;  // of the list that is known already
     Reconnect reconnect = Reconnect::kByItself;
-    std::chrono::milliseconds silence{4500};  // two of its heartbeats, and some
+    // After so long a watch, or a call, is broken: a heartbeat is owed every 2 s, an answer within 2 s. What
+    // it misses counts as told 6 s after it fell silent; until then comes a pause of up to 0.5 s and, where
+    // the new call is answered slowly, again 2 s.
+    std::chrono::milliseconds silence{3500};
     std::uint64_t seed = 0;
     std::uint64_t token = 0;  // of the lease under which discovery is watched
   };
