Take lists over several lines from a watch, wherever its reads cut them

Lists may come indented, also on a watch. Discovery cut the stream at line ends and parsed each line, so that an indented list was a garbled line at its first '{': the watch was ended and asked for again, the answer was garbled again, and the proxy stayed with the list that it had. ObjectReader finds the objects by their braces outside strings instead. An empty line within an object ends the watch, since the writer of a broken list goes on with heartbeats.

--- a/src/proxy/discovery.cpp
+++ b/src/proxy/discovery.cpp
@@ -13,6 +13,7 @@
 #include <utility>
 
 #include "log.h"
+#include "object_reader.h"
 
 namespace brackenspoke::proxy {
 namespace {
@@ -22,7 +23,7 @@
 namespace http = beast::http;
 using Error = boost::system::error_code;
 
-constexpr std::size_t kMostLine = 8 * 1024 * 1024;
+constexpr std::size_t kMostList = 8 * 1024 * 1024;
 constexpr std::chrono::milliseconds kLeastBackoff{50}, kMostBackoff{1000};
 
 }  // namespace
@@ -98,19 +99,18 @@
 
   // False when the watch is over.
   bool Take(std::string_view piece) {
-    line_ += piece;
-    std::size_t from = 0;
-    for (std::size_t end; (end = line_.find('\n', from)) != std::string::npos; from = end + 1) {
-      const bool good = owner_->OnLine(std::string_view(line_).substr(from, end - from));
+    lists_.Add(piece);
+    std::string text;
+    ObjectReader::Result result;
+    while ((result = lists_.Next(&text)) == ObjectReader::Result::kObject) {
+      const bool good = owner_->OnText(text);
       if (!owner_) return false;
-      if (!good) {
-        End("a garbled line");
-        return false;
-      }
+      if (good) continue;
+      result = ObjectReader::Result::kGarbled;
+      break;
     }
-    line_.erase(0, from);
-    if (line_.size() <= kMostLine) return true;
-    End("a line without end");
+    if (result == ObjectReader::Result::kNeedMore) return true;
+    End("a garbled list");
     return false;
   }
 
@@ -120,7 +120,7 @@
   http::request<http::empty_body> request_;
   http::response_parser<http::buffer_body> parser_;
   std::array<char, 16384> piece_;
-  std::string line_;
+  ObjectReader lists_{kMostList};
 };
 
 Discovery::Discovery(asio::io_context& io, Options options, OnList on_list, OnFailure on_failure)
@@ -157,12 +157,11 @@
   if (!paused_) Watch();
 }
 
-bool Discovery::OnLine(std::string_view line) {
-  if (line.find_first_not_of(" \r\t") == std::string_view::npos) return true;
+bool Discovery::OnText(std::string_view text) {
   std::string why;
-  const auto list = ParseMembers(line, &why);
+  const auto list = ParseMembers(text, &why);
   if (!list) {
-    log::Warn("discovery", "garbled line: " + why);
+    log::Warn("discovery", "garbled list: " + why);
     return false;
   }
   backoff_ = std::chrono::milliseconds(0);
--- a/src/proxy/discovery.h
+++ b/src/proxy/discovery.h
@@ -55,7 +55,7 @@
   class Stream;
   friend class Stream;
 
-  bool OnLine(std::string_view line);
+  bool OnText(std::string_view text);
   void OnEnd(const std::string& why);
 
   boost::asio::io_context& io_;
--- a/tests/discovery/watch_test.cpp
+++ b/tests/discovery/watch_test.cpp
@@ -147,5 +147,17 @@
   for (std::size_t i = 1; i <= kFailures; ++i) EXPECT_LT(at[i] - at[i - 1], milliseconds(2000)) << i;
 }
 
+TEST(DiscoveryWatch, AListOverSeveralLinesIsTaken) {
+  ScriptedDiscovery scripted([](std::size_t, Tcp::socket& socket) {
+    BeginWatch(socket);
+    const std::string text = ListJson(42, true, Members(MemberJson("s-1", kAnyPort))).dump(2) + "\n\n";
+    for (std::size_t at = 0; at < text.size(); at += 7) Say(socket, text.substr(at, 7));
+    Say(socket, ListJson(43, false, {}).dump(2) + "\n");
+  });
+  Follower follower(scripted.address(), kLong);
+  EXPECT_TRUE(follower.WaitForRevision(43));
+  EXPECT_EQ(scripted.targets().size(), 1u);
+}
+
 }  // namespace
 }  // namespace brackenspoke::testing
