Do not end at SIGTERM while bytes of a request have come and are not read

In the last second of a stop the process ended as soon as no answer was owed, also when a connection's bytes had arrived between the loop's last look at the sockets and the stop's timer: a whole request was then cut without an answer. Such a connection was not closed as idle, but was not waited for either (Clients::Shut).

--- a/src/proxy/clients.cpp
+++ b/src/proxy/clients.cpp
@@ -197,7 +197,7 @@
     if (session->IdleSince(before)) {
       session->Close();
     } else {
-      wait |= session->Owes() || (session->Reading() && !late);
+      wait |= session->Owes() || (session->Reading() && (!late || session->Unread()));
     }
   }
   if (!wait) return stopped_();
--- a/src/proxy/session.cpp
+++ b/src/proxy/session.cpp
@@ -52,9 +52,11 @@
   Read();
 }
 
-bool Clients::Session::Idle() {
+bool Clients::Session::Idle() { return Reading() && in_head_ && buffer_.size() == 0 && !Unread(); }
+
+bool Clients::Session::Unread() {
   Error error;
-  return Reading() && in_head_ && buffer_.size() == 0 && stream_.socket().available(error) == 0;
+  return stream_.socket().available(error) > 0;
 }
 
 void Clients::Session::Close() {
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -38,6 +38,8 @@
   bool Reading() const { return state_ == State::kReading; }
   // Within a request that has not come whole, of which nothing has been seen since then.
   bool StoppedSince(Steady::time_point before) const { return Reading() && heard_at_ <= before; }
+  // Bytes have come that nobody has read: the rest of a request, or a whole one, may be among them.
+  bool Unread();
   // Owes an answer, or the rest of one.
   bool Owes() const { return Holds() || (state_ == State::kWriting && !draining_); }
 
