--- a/src/fleet/node/node.cpp
+++ b/src/fleet/node/node.cpp
@@ -189,7 +189,7 @@
   if (!leases_) return "";
   const Time now = Steady::now();
   std::string line;
-  for (const std::string& duty : options_.duties)
+  for (const auto& [duty, kind] : options_.duties)
     line += fmt::format("{}{} {} holder={} token={} left={:.1f}s", line.empty() ? "" : ", ", duty,
                         Name(leases_->role(now, duty)),
                         leases_->holder(duty).empty() ? "-" : leases_->holder(duty), leases_->token(duty),
