--- a/tests/fleet/payload_test.cpp
+++ b/tests/fleet/payload_test.cpp
@@ -3,6 +3,8 @@
 // What layers above the fleet send over it: the wire form, and two nodes in one process.
 #include <gtest/gtest.h>
 
+#include <array>
+
 #include "cluster.h"
 #include "fleet/node/node.h"
 #include "fleet/wire/codec.h"
@@ -88,9 +90,9 @@
 TEST(Payload, GoesBetweenNodesOfTheSamePoolAlone) {
   boost::asio::io_context io;
   NoFacts facts;
-  const auto ports = FreeUdpPorts(3);
+  const std::array<LeasedPort, 3> ports;
   const auto address = [&](std::size_t i) {
-    return Udp::endpoint(boost::asio::ip::make_address("127.0.0.1"), ports[i]);
+    return Udp::endpoint(boost::asio::ip::make_address("127.0.0.1"), ports[i].port());
   };
   const auto section = [&](std::size_t i, const char* pool) {
     fl::FleetSection made;
@@ -100,7 +102,8 @@
     return made;
   };
   fl::Node one(io, section(0, "site"), "n1", 1, facts), two(io, section(1, "site"), "n2", 2, facts),
-      wide(io, section(2, "federation"), "n1", 3, facts, {.component = "federation"});
+      wide(io, section(2, "federation"), "n1", 3, facts,
+           fl::NodeOptions{.component = "federation", .duties = {}, .votes = ""});
   std::vector<std::string> heard;
   const auto hear = [&](const fl::Update& sender, const nlohmann::json& payload) {
     heard.push_back(sender.name + " " + payload.dump());
