Read votes of the model's disk from a value that outlives the loop, and test hand-offs

The new test crashes ten holders one after another, with their disks kept and lost, clocks 2% off: one holder within two terms and three drifts each time, never two.

--- a/model/fleet/votes.h
+++ b/model/fleet/votes.h
@@ -24,7 +24,8 @@
     const auto found = disk_.find(key_);
     if (found == disk_.end()) return std::nullopt;
     fleet::StoredVotes votes;
-    for (const auto& [duty, vote] : nlohmann::json::parse(found->second).items())
+    const auto all = nlohmann::json::parse(found->second);
+    for (const auto& [duty, vote] : all.items())
       votes[duty] = {vote.at(0).get<std::string>(), vote.at(1).get<fleet::Token>(),
                      vote.at(2).get<fleet::Token>(), vote.at(3).get<std::uint64_t>()};
     return votes;
--- a/tests/model/fleet_test.cpp
+++ b/tests/model/fleet_test.cpp
@@ -182,5 +182,34 @@
   EXPECT_EQ(takers.taken, 1u);
 }
 
+// Holders crash one after another and come back, as voters, with their disk or without it: there is another
+// within two terms and three drifts (docs/leases.md), and never two, whatever the clocks' rates are.
+TEST(LeaseTest, PassesOnWithinTheBoundAndIsNeverHeldByTwo) {
+  for (const bool with_disk : {true, false}) {
+    FederationOptions options = Options(1, 5);
+    options.seeds = 5;
+    options.fleet.lease_term = seconds(2);
+    options.duties = {{"treasurer", fleet::DutyKind::kExclusive}};
+    options.most_rate_error = 0.02;
+    Federation federation(7, options);
+    World& world = federation.world();
+    world.RunUntil(seconds(10));
+    const Moment bound = 2 * Moment(options.fleet.lease_term) + 3 * Moment(options.fleet.lease_drift);
+    for (int i = 0; i < 10; ++i) {
+      const auto holders = Holders(federation, 0, kSitePool, "treasurer");
+      ASSERT_EQ(holders.size(), 1u) << i;
+      world.Crash(holders.front());
+      const Moment by = world.now() + bound;
+      while (world.now() < by) {
+        world.RunUntil(world.now() + milliseconds(10));
+        ASSERT_LE(Holders(federation, 0, kSitePool, "treasurer").size(), 1u) << i;
+      }
+      EXPECT_EQ(Holders(federation, 0, kSitePool, "treasurer").size(), 1u) << i;
+      world.Restart(holders.front(), with_disk);
+      world.RunUntil(world.now() + seconds(5));
+    }
+  }
+}
+
 }  // namespace
 }  // namespace brackenspoke::model
