--- /dev/null
+++ b/model/site/gateway.h
@@ -0,0 +1,101 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// A gateway: the real decision module, driven as src/proxy/proxy.cpp drives it, beside its fleet's side. What
+// is built on it (spill, quota) derives from it.
+#ifndef BRACKENSPOKE_MODEL_SITE_GATEWAY_H_
+#define BRACKENSPOKE_MODEL_SITE_GATEWAY_H_
+
+#include <deque>
+#include <map>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "brackenspoke/balancer.h"
+#include "model/fleet/program.h"
+#include "model/site/ledger.h"
+#include "model/site/traffic.h"
+
+namespace brackenspoke::model {
+
+struct GatewayOptions {
+  Settings settings;
+  std::vector<Endpoint> servers;  // number 1 and up, all ready
+  std::uint64_t seed = 0;
+};
+
+class GatewayProgram : public FleetProgram {
+ public:
+  // `ledger` outlives this.
+  GatewayProgram(Host& host, const FleetSetup& setup, const GatewayOptions& options, Ledger& ledger);
+
+  void Tick() override;
+  Time Next() const override;
+
+  // Of discovery, of operators, or of a part beside the module.
+  void Feed(Event event);
+  const Balancer& balancer() const { return balancer_; }
+
+ protected:
+  struct Request {
+    ClientAsk ask;
+    Endpoint client;
+    Time due{};
+    bool answered = false;
+    bool attempt_out = false;
+    int attempts = 0;
+    Time sent_at{};
+    bool ran = false;  // an attempt was sent that is not proven not to have run
+  };
+
+  // Before the module hears of it: may set its share, or that it is spilled.
+  virtual void OnArrival(const Request&, Submit*) {}
+  // The module has refused it. True: taken over, and whoever did calls Finish.
+  virtual bool OnRefused(RequestId, const Request&, Span /*retry_after*/) { return false; }
+  // Anything that is no request and no answer of a server.
+  virtual void OnPacket(const Packet&) {}
+
+  // The one final answer; nothing if there was one already.
+  void Finish(RequestId id, Ending ending, Span retry_after = Span(0));
+  const Request* Find(RequestId id) const;
+  Host& host() { return host_; }
+  static TimePoint PointOf(Time time);
+
+ private:
+  struct Wake {
+    enum class Kind { kModule, kDue, kAttempt } kind = Kind::kModule;
+    std::uint64_t id = 0;  // the module's token, or the request
+    int attempt = 0;
+  };
+
+  void ReceiveOther(const Packet& packet) override;
+  void OnAsk(const Packet& packet, const ClientAsk& ask);
+  void OnEnded(RequestId id, int attempt, Outcome outcome);
+  void OnWake(const Wake& wake);
+  void ForgetIfOver(RequestId id);
+
+  void Do(const Dispatch& action);
+  void Do(const Refuse& action);
+  void Do(const Fail& action);
+  void Do(const SetTimer& action);
+  void Do(const Subscribe&) { Feed(ListUpdate{ListKind::kDelta, {}}); }
+  void Do(const CloseIdle&) {}
+  void Do(const Log&) {}
+  void Do(const Ejected& action);
+
+  Host& host_;
+  const GatewayOptions options_;
+  Ledger& ledger_;
+  Balancer balancer_;
+  std::deque<Event> events_;
+  bool handling_ = false;
+  RequestId last_ = 0;
+  std::map<RequestId, Request> requests_;
+  std::map<RequestId, std::pair<int, ServerId>> out_;  // the attempt under way
+  std::set<std::pair<CallId, int>> seen_;
+  std::multimap<Time, Wake> wakes_;
+};
+
+}  // namespace brackenspoke::model
+
+#endif  // BRACKENSPOKE_MODEL_SITE_GATEWAY_H_
--- /dev/null
+++ b/model/site/ledger.h
@@ -0,0 +1,81 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// What became of each request, as an observer of all clients, gateways and servers writes it down, and what
+// must never be: an unsafe request that ran twice, a try that was answered twice, a request without an end.
+#ifndef BRACKENSPOKE_MODEL_SITE_LEDGER_H_
+#define BRACKENSPOKE_MODEL_SITE_LEDGER_H_
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "model/site/traffic.h"
+
+namespace brackenspoke::model {
+
+class Ledger {
+ public:
+  struct Call {
+    int site = 0, request_class = 0, tenant = 0;
+    bool unsafe = false;
+    double worth = 0, work_ms = 0;
+    Moment asked{0}, ended{0};
+    int ran = 0, ends = 0;
+    std::map<int, int> answers;  // that gateways gave to each try
+    Ending ending = Ending::kExpired;
+  };
+
+  void Asked(CallId id, Call call) { calls_[id] = std::move(call); }
+  void Ran(CallId id) { ++calls_[id].ran; }
+  void Answered(CallId id, int tried) { ++calls_[id].answers[tried]; }
+  void Ended(CallId id, Ending ending, Moment at) {
+    Call& call = calls_[id];
+    ++call.ends;
+    call.ending = ending;
+    call.ended = at;
+  }
+
+  const std::map<CallId, Call>& calls() const { return calls_; }
+
+  // One line for each broken rule; a request that is still open counts as one if it was asked before `by`.
+  std::vector<std::string> Broken(Moment by) const {
+    std::vector<std::string> broken;
+    for (const auto& [id, call] : calls_) {
+      const std::string name = "request " + std::to_string(id);
+      if (call.unsafe && call.ran > 1) broken.push_back(name + " is unsafe and ran twice");
+      if (call.ends > 1) broken.push_back(name + " ended twice");
+      if (call.ends == 0 && call.asked < by) broken.push_back(name + " has no end");
+      for (const auto& [tried, answers] : call.answers)
+        if (answers > 1) broken.push_back(name + " got two answers to a try");
+    }
+    return broken;
+  }
+
+  struct Sum {
+    std::array<std::uint64_t, 4> ended{};  // by Ending
+    double worth = 0, work_ms = 0;         // of those that were served
+  };
+  // Of the calls that `wanted` picks.
+  template <typename Wanted>
+  Sum Total(Wanted wanted) const {
+    Sum sum;
+    for (const auto& [id, call] : calls_) {
+      if (call.ends == 0 || !wanted(call)) continue;
+      ++sum.ended[static_cast<std::size_t>(call.ending)];
+      if (call.ending != Ending::kServed) continue;
+      sum.worth += call.worth;
+      sum.work_ms += call.work_ms;
+    }
+    return sum;
+  }
+
+ private:
+  std::map<CallId, Call> calls_;
+};
+
+}  // namespace brackenspoke::model
+
+#endif  // BRACKENSPOKE_MODEL_SITE_LEDGER_H_
