--- a/bench/model_leases.cpp
+++ b/bench/model_leases.cpp
@@ -51,14 +51,13 @@
   Row row;
   for (int i = 0; i < kills; ++i) {
     const auto victim = NextHolder(federation);
-    if (!victim) {
-      ++row.never;
-      continue;
-    }
+    if (!victim) continue;
     const auto killed = world.now();
     world.Crash(*victim);
     if (NextHolder(federation))
       row.handed_s.push_back(std::chrono::duration<double>(world.now() - killed).count());
+    else
+      ++row.never;
     world.Restart(*victim);
     world.RunUntil(world.now() + 2 * term);  // until it may vote again
   }
