--- /dev/null
+++ b/model/quota/gateways.cpp
@@ -0,0 +1,254 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "model/quota/gateways.h"
+
+#include <cmath>
+#include <variant>
+
+namespace brackenspoke::model {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::nanoseconds;
+
+constexpr Span kArrivals = milliseconds(20);  // that are drawn at a time
+
+struct Wire {
+  std::size_t treasurer = 0;
+  std::variant<quota::Request, quota::Answer> message;
+};
+
+// About what it takes as MessagePack.
+std::size_t BytesOf(const quota::Request& request) {
+  return 60 + 40 * request.asks.size() + 30 * request.acks.size();
+}
+std::size_t BytesOf(const quota::Answer& answer) {
+  return 60 + 40 * answer.draws.size() + 16 * answer.calls.size() + 30 * answer.floors.size();
+}
+
+}  // namespace
+
+class Gateways::Program final : public model::Program {
+ public:
+  Program(Gateways& all, Host& host, std::size_t number)
+      : all_(all),
+        host_(host),
+        number_(number),
+        life_(++all.lives_),
+        random_(all.options_.seed * 1'000'003 + life_),
+        site_(number / all.options_.per_site),
+        account_(
+            {SiteName(site_), all.options_.per_site, life_, all.options_.treasurers, all.options_.timings},
+            all.files_[number], host.Now()),
+        next_lease_(host.Now() + Between(milliseconds(0), milliseconds(300))),
+        next_draw_(host.Now()) {
+    for (std::size_t i = 0; i < all.options_.treasurers; ++i)
+      treasurers_.emplace_back(
+          quota::TreasurerOptions{i, all.options_.treasurers, all.layout_, all.options_.timings},
+          all.files_[number]);
+  }
+
+  void Receive(const Packet& packet) override {
+    const auto& wire = std::any_cast<const Wire&>(*packet.content);
+    const Time now = host_.Now();
+    if (const auto* answer = std::get_if<quota::Answer>(&wire.message)) {
+      quota::AccountActions actions;
+      account_.Receive(now, wire.treasurer, *answer, &actions);
+      return Act(actions);
+    }
+    const auto from = all_.by_address_.find(packet.from);
+    const auto guard = all_.duties_->Guard(number_, life_, wire.treasurer);
+    if (!guard) return;
+    quota::TreasurerActions actions;
+    treasurers_[wire.treasurer].Receive(now, *guard, all_.names_[from->second],
+                                        std::get<quota::Request>(wire.message), &actions);
+    Act(wire.treasurer, actions);
+  }
+
+  void Tick() override {
+    const Time now = host_.Now();
+    if (now >= next_lease_) {
+      all_.duties_->Try(number_, life_);
+      next_lease_ = now + Between(milliseconds(200), milliseconds(400));
+    }
+    for (std::size_t i = 0; i < treasurers_.size(); ++i)
+      if (const auto guard =
+              treasurers_[i].Next() <= now ? all_.duties_->Guard(number_, life_, i) : std::nullopt) {
+        quota::TreasurerActions actions;
+        treasurers_[i].Tick(now, *guard, &actions);
+        Act(i, actions);
+      }
+    Serve(now);
+    quota::AccountActions actions;
+    account_.Tick(now, &actions);
+    Act(actions);
+  }
+
+  Time Next() const override {
+    Time next = std::min({next_lease_, next_draw_, account_.Next()});
+    if (at_ < arrivals_.size()) next = std::min(next, arrivals_[at_].at);
+    for (std::size_t i = 0; i < treasurers_.size(); ++i)
+      if (all_.duties_->Guard(number_, life_, i)) next = std::min(next, treasurers_[i].Next());
+    return std::max(next, host_.Now() + nanoseconds(1));
+  }
+
+  void Renew(std::shared_ptr<const quota::Budgets> budgets) {
+    for (quota::Treasurer& treasurer : treasurers_) treasurer.Renew(budgets);
+    quota::AccountActions actions;
+    account_.Renew(host_.Now(), std::move(budgets), &actions);
+    Act(actions);
+  }
+
+ private:
+  struct Arrival {
+    Time at;
+    const std::string* partner;
+    double units;
+  };
+
+  Span Between(Span from, Span to) {
+    return from + Span(std::uniform_int_distribution<Span::rep>(0, (to - from).count())(random_));
+  }
+  bool Chance(double share) { return share > 0 && std::uniform_real_distribution<>(0, 1)(random_) < share; }
+
+  void Serve(Time now) {
+    for (; at_ < arrivals_.size() && arrivals_[at_].at <= now; ++at_) {
+      const Arrival& arrival = arrivals_[at_];
+      const quota::Charged charged = account_.Charge(now, *arrival.partner, arrival.units);
+      const bool inside = charged.verdict == quota::Verdict::kInside;
+      const bool credited = inside && Chance(all_.options_.credited);
+      all_.Count(number_, *arrival.partner, host_.True(),
+                 static_cast<quota::Milli>(std::ceil(arrival.units * quota::kOne)), inside, !credited);
+      if (credited) account_.Credit(now, charged.ticket);
+    }
+    if (now < next_draw_) return;
+    // What came while the machine stood still comes at once.
+    const Span spread = std::min<Span>(now - next_draw_, milliseconds(500)) + kArrivals;
+    arrivals_.clear();
+    at_ = 0;
+    for (const auto& [partner, per_s] : all_.loads_[number_]) {
+      const double mean = per_s / all_.options_.cost * std::chrono::duration<double>(spread).count();
+      for (int n = std::poisson_distribution<>(mean)(random_); n > 0; --n) {
+        const double units = all_.options_.cost > 1
+                                 ? std::exponential_distribution<>(1 / all_.options_.cost)(random_)
+                                 : all_.options_.cost;
+        arrivals_.push_back({now + Between(Span(0), kArrivals), &partner, std::max(units, 0.001)});
+      }
+    }
+    std::sort(arrivals_.begin(), arrivals_.end(),
+              [](const Arrival& a, const Arrival& b) { return a.at < b.at; });
+    next_draw_ = now + kArrivals;
+  }
+
+  void Act(const quota::AccountActions& actions) {
+    for (const quota::AccountAction& action : actions) {
+      const auto* send = std::get_if<quota::SendRequest>(&action);
+      const auto holder = send ? all_.duties_->Holder(send->treasurer) : std::nullopt;
+      if (holder)
+        host_.Send(all_.addresses_[*holder], Wire{send->treasurer, send->request}, BytesOf(send->request));
+    }
+  }
+
+  void Act(std::size_t treasurer, const quota::TreasurerActions& actions) {
+    for (const quota::TreasurerAction& action : actions) {
+      const auto* send = std::get_if<quota::SendAnswer>(&action);
+      if (!send) continue;
+      const auto to = static_cast<std::size_t>(
+          std::find(all_.names_.begin(), all_.names_.end(), send->gateway) - all_.names_.begin());
+      const auto post = [&host = host_, address = all_.addresses_[to], treasurer, answer = send->answer] {
+        host.Send(address, Wire{treasurer, answer}, BytesOf(answer));
+      };
+      if (Chance(all_.options_.late))
+        all_.world_.At(all_.world_.now() + Between(milliseconds(0), milliseconds(4000)), post);
+      else
+        post();
+    }
+  }
+
+  Gateways& all_;
+  Host& host_;
+  const std::size_t number_;
+  const std::uint64_t life_;
+  std::mt19937_64 random_;
+  const std::size_t site_;
+  quota::Account account_;
+  std::vector<quota::Treasurer> treasurers_;
+  std::vector<Arrival> arrivals_;
+  std::size_t at_ = 0;
+  Time next_lease_, next_draw_;
+};
+
+Gateways::Gateways(const GatewaysOptions& options, std::shared_ptr<const quota::Budgets> budgets)
+    : options_(options), world_(options.seed) {
+  const std::size_t count = options.sites * options.per_site;
+  files_.assign(count, budgets);
+  loads_.resize(count);
+  for (const auto& [partner, budget] : budgets->partners) {
+    Tally& tally = tallies_[partner];
+    tally.asked.resize(count);
+    tally.inside.resize(count);
+    ideal_.emplace(partner, Window(budget.rate, budget.burst));
+  }
+  for (std::size_t i = 0; i < count; ++i) {
+    names_.push_back(std::string(1, 'g').append(std::to_string(i)));
+    const auto host = static_cast<std::uint32_t>(0x0a000000 + i + 1);
+    addresses_.emplace_back(boost::asio::ip::address_v4(host), 7900);
+    by_address_[addresses_.back()] = i;
+    layout_[SiteName(i / options.per_site)].insert(names_.back());
+    world_.network().Place(i, i / options.per_site);
+  }
+  std::vector<std::size_t> voters;
+  for (std::size_t site = 0; site < options.sites; ++site) voters.push_back(site * options.per_site);
+  duties_ = std::make_unique<Duties>(world_, options.treasurers, voters, options.timings.term,
+                                     options.timings.drift);
+  const double apart = options.clocks_apart * std::chrono::duration<double>(options.timings.drift) /
+                       std::chrono::duration<double>(2 * options.timings.term);
+  for (std::size_t i = 0; i < count; ++i) {
+    MachineClock clock;
+    // The ends of the range are where a margin that is missing shows.
+    const double at = std::uniform_real_distribution<>(-1.5, 1.5)(world_.random());
+    clock.rate = 1 + apart * std::clamp(at, -1.0, 1.0);
+    clock.offset = std::chrono::hours(1 + i % 7);
+    world_.Add(
+        names_[i], addresses_[i], [this, i](Host& host) { return std::make_unique<Program>(*this, host, i); },
+        clock);
+  }
+}
+
+Gateways::~Gateways() = default;
+
+void Gateways::SetLoad(std::size_t gateway, const std::string& partner, double per_s) {
+  loads_[gateway][partner] = per_s;
+}
+
+void Gateways::SetBudgets(std::size_t gateway, std::shared_ptr<const quota::Budgets> budgets) {
+  files_[gateway] = budgets;
+  if (auto* program = static_cast<Program*>(world_.program(gateway))) program->Renew(std::move(budgets));
+}
+
+void Gateways::ClearTallies() {
+  const std::size_t count = size();
+  for (auto& [partner, tally] : tallies_) {
+    tally = Tally{};
+    tally.asked.resize(count);
+    tally.inside.resize(count);
+  }
+}
+
+void Gateways::Count(std::size_t gateway, const std::string& partner, Moment at, quota::Milli cost,
+                     bool inside, bool counts) {
+  Tally& tally = tallies_.at(partner);
+  ++tally.asked[gateway];
+  const bool possible = ideal_.at(partner).Offer({at, cost});
+  if (possible) {
+    ++tally.possible;
+    tally.possible_spent += cost;
+  }
+  if (inside && counts) {
+    ++tally.inside[gateway];
+    tally.spent += cost;
+    if (options_.keep_all) tally.admitted.push_back({at, cost});
+  }
+  if (!inside && possible) ++tally.refused_in_error;
+}
+
+}  // namespace brackenspoke::model
