--- a/model/quota/gateways.cpp
+++ b/model/quota/gateways.cpp
@@ -8,13 +8,13 @@
 namespace {
 
 using std::chrono::milliseconds;
-using std::chrono::nanoseconds;
 
+constexpr std::size_t kLeaseBytes = 120;
 constexpr Span kArrivals = milliseconds(20);  // that are drawn at a time
 
 struct Wire {
   std::size_t treasurer = 0;
-  std::variant<quota::Request, quota::Answer> message;
+  std::variant<quota::Request, quota::Answer, fleet::LeaseMessage> message;
 };
 
 // About what it takes as MessagePack.
@@ -39,7 +39,10 @@
         account_(
             {SiteName(site_), all.options_.per_site, life_, all.options_.treasurers, all.options_.timings},
             all.files_[number], host.Now()),
-        next_lease_(host.Now() + Between(milliseconds(0), milliseconds(300))),
+        leases_(host, life_, number, all.voters_, all.options_.treasurers, all.options_.timings, all.holders_,
+                [&host](const Endpoint& to, const fleet::LeaseMessage& message) {
+                  host.Send(to, Wire{0, message}, kLeaseBytes);
+                }),
         next_draw_(host.Now()) {
     for (std::size_t i = 0; i < all.options_.treasurers; ++i)
       treasurers_.emplace_back(
@@ -55,8 +58,10 @@
       account_.Receive(now, wire.treasurer, *answer, &actions);
       return Act(actions);
     }
+    if (const auto* lease = std::get_if<fleet::LeaseMessage>(&wire.message))
+      return leases_.Receive(packet.from, *lease);
     const auto from = all_.by_address_.find(packet.from);
-    const auto guard = all_.duties_->Guard(number_, life_, wire.treasurer);
+    const auto guard = leases_.Guard(wire.treasurer);
     if (!guard) return;
     quota::TreasurerActions actions;
     treasurers_[wire.treasurer].Receive(now, *guard, all_.names_[from->second],
@@ -66,13 +71,9 @@
 
   void Tick() override {
     const Time now = host_.Now();
-    if (now >= next_lease_) {
-      all_.duties_->Try(number_, life_);
-      next_lease_ = now + Between(milliseconds(200), milliseconds(400));
-    }
+    leases_.Tick();
     for (std::size_t i = 0; i < treasurers_.size(); ++i)
-      if (const auto guard =
-              treasurers_[i].Next() <= now ? all_.duties_->Guard(number_, life_, i) : std::nullopt) {
+      if (const auto guard = treasurers_[i].Next() <= now ? leases_.Guard(i) : std::nullopt) {
         quota::TreasurerActions actions;
         treasurers_[i].Tick(now, *guard, &actions);
         Act(i, actions);
@@ -84,11 +85,11 @@
   }
 
   Time Next() const override {
-    Time next = std::min({next_lease_, next_draw_, account_.Next()});
+    Time next = std::min({leases_.Next(), next_draw_, account_.Next()});
     if (at_ < arrivals_.size()) next = std::min(next, arrivals_[at_].at);
     for (std::size_t i = 0; i < treasurers_.size(); ++i)
-      if (all_.duties_->Guard(number_, life_, i)) next = std::min(next, treasurers_[i].Next());
-    return std::max(next, host_.Now() + nanoseconds(1));
+      if (leases_.Guard(i)) next = std::min(next, treasurers_[i].Next());
+    return next;
   }
 
   void Renew(std::shared_ptr<const quota::Budgets> budgets) {
@@ -142,7 +143,7 @@
   void Act(const quota::AccountActions& actions) {
     for (const quota::AccountAction& action : actions) {
       const auto* send = std::get_if<quota::SendRequest>(&action);
-      const auto holder = send ? all_.duties_->Holder(send->treasurer) : std::nullopt;
+      const auto holder = send ? all_.Holder(send->treasurer) : std::nullopt;
       if (holder)
         host_.Send(all_.addresses_[*holder], Wire{send->treasurer, send->request}, BytesOf(send->request));
     }
@@ -174,7 +175,8 @@
   std::vector<quota::Treasurer> treasurers_;
   std::vector<Arrival> arrivals_;
   std::size_t at_ = 0;
-  Time next_lease_, next_draw_;
+  LeaseMember leases_;
+  Time next_draw_;
 };
 
 Gateways::Gateways(const GatewaysOptions& options, std::shared_ptr<const quota::Budgets> budgets)
@@ -196,12 +198,10 @@
     layout_[SiteName(i / options.per_site)].insert(names_.back());
     world_.network().Place(i, i / options.per_site);
   }
-  std::vector<std::size_t> voters;
-  for (std::size_t site = 0; site < options.sites; ++site) voters.push_back(site * options.per_site);
-  duties_ = std::make_unique<Duties>(world_, options.treasurers, voters, options.timings.term,
-                                     options.timings.drift);
+  for (std::size_t site = 0; site < options.sites; ++site)
+    voters_.push_back(addresses_[site * options.per_site]);
   const double apart = options.clocks_apart * std::chrono::duration<double>(options.timings.drift) /
-                       std::chrono::duration<double>(2 * options.timings.term);
+                       std::chrono::duration<double>(options.timings.term);
   for (std::size_t i = 0; i < count; ++i) {
     MachineClock clock;
     // The ends of the range are where a margin that is missing shows.
--- a/model/quota/gateways.h
+++ b/model/quota/gateways.h
@@ -11,7 +11,7 @@
 #include <string>
 #include <vector>
 
-#include "model/quota/duties.h"
+#include "model/quota/lease_member.h"
 #include "model/quota/ledger_check.h"
 #include "model/world.h"
 #include "quota/account.h"
@@ -54,7 +54,9 @@
   // The file of a gateway's machine from now on; a process that runs takes it at once.
   void SetBudgets(std::size_t gateway, std::shared_ptr<const quota::Budgets> budgets);
   // The machine that holds a duty, as others see it.
-  std::optional<std::size_t> Holder(std::size_t treasurer) const { return duties_->Holder(treasurer); }
+  std::optional<std::size_t> Holder(std::size_t treasurer) const {
+    return holders_.At(treasurer, world_.now());
+  }
 
   const std::map<std::string, Tally>& tallies() const { return tallies_; }
   void ClearTallies();  // counts only what comes from now on
@@ -73,7 +75,8 @@
   quota::Layout layout_;
   std::vector<std::shared_ptr<const quota::Budgets>> files_;
   std::vector<std::map<std::string, double>> loads_;
-  std::unique_ptr<Duties> duties_;
+  std::vector<Endpoint> voters_;
+  Holders holders_;
   std::map<std::string, Tally> tallies_;
   std::map<std::string, Window> ideal_;
   std::uint64_t lives_ = 0;
--- a/src/fleet/message.h
+++ b/src/fleet/wire/message.h
@@ -1,20 +1,19 @@
 // SPDX-License-Identifier: Apache-2.0
 //
-// What members of a fleet say to each other: one MessagePack map a datagram, with the protocol's version and
-// the fleet's name. Whatever is not such a map, whole and within the size, is dropped with a reason.
-#ifndef BRACKENSPOKE_FLEET_MESSAGE_H_
-#define BRACKENSPOKE_FLEET_MESSAGE_H_
+// What members of a fleet say to each other. How it goes over the wire is in codec.h.
+#ifndef BRACKENSPOKE_FLEET_WIRE_MESSAGE_H_
+#define BRACKENSPOKE_FLEET_WIRE_MESSAGE_H_
 
 #include <boost/asio/ip/udp.hpp>
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <optional>
-#include <span>
 #include <string>
 #include <string_view>
-#include <variant>
 #include <vector>
 
+#include "fleet/lease/message.h"
+
 namespace brackenspoke::fleet {
 
 using Udp = boost::asio::ip::udp;
@@ -24,6 +23,7 @@
 inline constexpr int kProtocolVersion = 1;
 
 enum class MemberState { kAlive, kSuspect, kDead, kLeft };
+inline constexpr int kStates = 4;
 std::string_view Name(MemberState state);
 
 // A claim about a member. `accuser` is who suspects, of kSuspect alone.
@@ -35,21 +35,11 @@
   std::string accuser;
 };
 
-// Of a lease: a candidate asks, a voter grants or denies, a holder or candidate gives back.
-struct LeaseMessage {
-  enum class Verb { kAsk, kGrant, kDeny, kRelease };
-  Verb verb = Verb::kAsk;
-  std::string duty;
-  std::uint64_t token = 0;    // asked for, granted, given back; of kDeny the largest that the voter knows
-  std::string holder;         // who asks
-  std::uint64_t left_ms = 0;  // of kDeny: until the voter may grant
-  std::uint64_t asked = 0;    // of kDeny: what was asked for
-};
-
 struct Message {
   // SWIM's ping, ping-req and ack, Lifeguard's nack, the exchange of whole tables, shared state alone,
   // and leases.
   enum class Kind { kPing, kPingReq, kAck, kNack, kSync, kState, kLease };
+  static constexpr int kKinds = 7;
   Kind kind = Kind::kPing;
   Update sender;               // as it sees itself: alive, or left
   std::uint64_t sequence = 0;  // of the probe that this belongs to
@@ -68,16 +58,8 @@
 inline constexpr int kDrops = 4;
 std::string_view Name(Drop drop);
 
-// At most kMostDatagram bytes, if the updates were taken by RoomFor.
-std::vector<std::uint8_t> Encode(std::string_view fleet, const Message& message);
-std::variant<Message, Drop> Decode(std::string_view fleet, std::span<const std::uint8_t> datagram);
-
-// Bytes that an update takes in a message, at most; and those that a message has for updates.
-std::size_t SizeOf(const Update& update);
-std::size_t RoomFor(std::string_view fleet, const Message& message);
-
 std::string Text(const Udp::endpoint& address);  // host:port
 
 }  // namespace brackenspoke::fleet
 
-#endif  // BRACKENSPOKE_FLEET_MESSAGE_H_
+#endif  // BRACKENSPOKE_FLEET_WIRE_MESSAGE_H_
