--- /dev/null
+++ b/tests/quota/section_test.cpp
@@ -0,0 +1,80 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "quota/section.h"
+
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+
+namespace brackenspoke::quota {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+const Layout kSites{{"muc", {"muc-1", "muc-2"}}, {"aug", {"aug-1"}}};
+
+json Sample() {
+  return {{"quota",
+           {{"revision", 7},
+            {"treasurers", 4},
+            {"draw_ms", 2000},
+            {"ask_ms", 250},
+            {"partners",
+             {{"isar",
+               {{"per_s", 200},
+                {"burst", 400},
+                {"unit", "requests"},
+                {"over", "refuse"},
+                {"floors", {{"muc", 50}, {"aug", 20.5}}}}}}}}}};
+}
+
+std::vector<std::string> FaultsOf(const json& root) {
+  std::vector<std::string> faults;
+  const QuotaSection quota = ReadQuota(root, &faults);
+  CheckQuota(quota, kSites, {"isar"}, milliseconds(3000), milliseconds(100), &faults);
+  return faults;
+}
+
+TEST(QuotaSection, ReadsBudgets) {
+  std::vector<std::string> faults;
+  const QuotaSection quota = ReadQuota(Sample(), &faults);
+  EXPECT_TRUE(FaultsOf(Sample()).empty());
+  EXPECT_TRUE(quota.on);
+  EXPECT_EQ(quota.budgets.revision, 7u);
+  const Budget& budget = quota.budgets.partners.at("isar");
+  EXPECT_EQ(budget.rate, 200'000);
+  EXPECT_EQ(budget.over, Over::kRefuse);
+  EXPECT_EQ(budget.floors.at("aug"), 20'500);
+  EXPECT_FALSE(ReadQuota(json::object(), &faults).on);
+  EXPECT_TRUE(faults.empty());
+}
+
+TEST(QuotaSection, FindsEachFault) {
+  const std::vector<std::tuple<const char*, json, const char*>> cases{
+      {"/quota/x", 1, "quota.x is no known key"},
+      {"/quota/draw_ms", 900, "quota.draw_ms is under 4 times ask_ms"},
+      {"/quota/draw_ms", 2800,
+       "quota.draw_ms is not under sites.lease_term_ms less twice sites.lease_drift_ms"},
+      {"/quota/partners", 3, "quota.partners is no object"},
+      {"/quota/partners/isar/per_s", 0, "quota.partners.isar.per_s is out of range 0.001 to 1000000.0"},
+      {"/quota/partners/isar/unit", "x", "quota.partners.isar.unit is neither requests nor work"},
+      {"/quota/partners/isar/over", "x", "quota.partners.isar.over is neither mark nor refuse"},
+      {"/quota/partners/isar/floors/muc", 190, "quota.partners.isar.floors are more than per_s together"},
+      {"/quota/partners/isar/floors/muc", -1, "quota.partners.isar.floors.muc is no figure from 0 to per_s"},
+      {"/quota/partners/isar/floors/muc", 0.5,
+       "quota.partners.isar.floors.muc gives a gateway too little burst for one request"},
+      {"/quota/partners/isar/floors/ulm", 1, "quota.partners.isar.floors.ulm is no site"},
+      {"/quota/partners/lech",
+       {{"per_s", 1}, {"burst", 1}},
+       "quota.partners.lech is no tenant of the settings"}};
+  for (const auto& [place, value, fault] : cases) {
+    json root = Sample();
+    root[json::json_pointer(place)] = value;
+    const auto faults = FaultsOf(root);
+    EXPECT_EQ(std::count(faults.begin(), faults.end(), fault), 1)
+        << place << ": " << (faults.empty() ? "none" : faults[0]);
+  }
+}
+
+}  // namespace
+}  // namespace brackenspoke::quota
