Check leases by search: every interleaving of three members, schedules of five and seven, mutants

Cause: that two never act at once was argued, and tested where somebody had thought of a test.

Change: model/lease/ runs the real classes: breadth first over every sequence of deliveries, copies, losses, delays, time steps, stalls, guards, give-backs, crashes and restarts of three members up to depth 7 from six beginnings, states hashed by XXH64; and random schedules of 60 s on the World, shrunk when they fail. Each of 18 scripts of model/mutants/ breaks one thing in a copy of the sources at build time, and the checker must find it (ctest -L checker; the sanitizers' run leaves it out).

A token is now never asked for twice; the mutant asked_again keeps the case.

--- /dev/null
+++ b/model/lease/member.h
@@ -0,0 +1,79 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// A member that holds leases, as a program of the World: it makes its lease known, acts while it holds it,
+// and keeps its votes on its machine's disk. All members of a run share an Arena, which sees what goes wrong.
+#ifndef BRACKENSPOKE_MODEL_LEASE_MEMBER_H_
+#define BRACKENSPOKE_MODEL_LEASE_MEMBER_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "fleet/lease/leases.h"
+#include "model/world.h"
+
+namespace brackenspoke::model {
+
+class LeaseMember;
+
+// The resource that is acted on, and the watch over who acts.
+struct Arena {
+  std::chrono::milliseconds term{3000}, drift{100};
+  std::vector<Endpoint> members;  // all of them voters
+  bool disks_last = false;        // no disk is lost: tokens must grow from lease to lease
+  bool told = true;               // holders make their leases known
+
+  std::vector<LeaseMember*> present;  // by index; null while down
+  fleet::Fence resource;
+  fleet::Token written = 0, newest = 0;
+  std::string writer, holder;
+  std::uint64_t leases = 0, acts = 0, refused = 0;
+  int lives = 0;
+  std::optional<std::string> broken;
+};
+
+class LeaseMember : public Program, private fleet::Leases::Outlet, private fleet::VoteStore {
+ public:
+  LeaseMember(Host& host, World& world, Arena& arena, std::size_t index);
+  ~LeaseMember() override;
+
+  void Receive(const Packet& packet) override;
+  void Tick() override;
+  Time Next() const override;
+
+  void GiveBack();
+  void Resume();
+  // By its clock, or by a guard that it has taken and that holds.
+  bool Acts() const;
+
+ private:
+  // A holder's word of its lease.
+  struct Word {
+    std::string holder;
+    fleet::Token token = 0;
+    Span left{0};
+  };
+
+  void Send(const Endpoint& to, const fleet::LeaseMessage& message) override;
+  void OnRole(const std::string& duty, fleet::Role role, fleet::Token token, Span left,
+              std::string_view why) override;
+  void OnFailure(const Failure& failure) override;
+  bool Save(const fleet::StoredVotes& votes) override;
+  std::optional<fleet::StoredVotes> Load() const;
+  fleet::LeaseOptions Options() const;
+  void Act(const fleet::LeaseGuard& guard);
+
+  Host& host_;
+  World& world_;
+  Arena& arena_;
+  const std::size_t index_;
+  const std::string holder_;
+  fleet::Leases leases_;
+  std::optional<fleet::LeaseGuard> guard_;  // of the act under way
+  Time act_at_;                             // when it reaches the resource, or the next one begins
+};
+
+}  // namespace brackenspoke::model
+
+#endif  // BRACKENSPOKE_MODEL_LEASE_MEMBER_H_
--- /dev/null
+++ b/model/mutants/late_grant.leases.sed
@@ -0,0 +1,2 @@
+# A grant counts from the newest request, whichever it answers.
+s/sent->second/duty.sent.rbegin()->second/g
--- /dev/null
+++ b/model/mutants/token_reused.voter.sed
@@ -0,0 +1,2 @@
+# A token that has been granted is granted to another.
+s/ask\.token > vote\.kept\.largest/ask.token >= vote.kept.largest/
--- /dev/null
+++ b/model/mutants/unequal_terms.voter.sed
@@ -0,0 +1,2 @@
+# A voter grants to an asker whose term is another.
+/return Why::kTerm;/d
--- a/src/fleet/lease/leases.cpp
+++ b/src/fleet/lease/leases.cpp
@@ -136,6 +136,8 @@
 void Leases::Ask(Time now, const std::string& name, Duty& duty, Token token) {
   duty.asking = true;
   duty.asked = token;
+  // Never asked for again once it is given back, whatever the wall clock says: the release may come late.
+  duty.largest = std::max(duty.largest, token);
   duty.answers_by = now + terms_.term / 6;
   std::erase_if(duty.sent, [&](const auto& each) { return each.second + terms_.term <= now; });
   duty.sent[++requests_] = now;
