--- /dev/null
+++ b/tests/fleet/lease_actor.cpp
@@ -0,0 +1,121 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// A member of a fleet that does nothing but act, for tests: while it holds the lease of maintenance it writes
+// to a stand-in resource, each time under a guard, and prints each act with its begin and end on the
+// machine's monotonic clock. A fleet::Node as the program has it, with real sockets, timers and a file of
+// votes.
+//
+//   lease_actor --name N --bind A --advertise A --seeds A... --votes FILE --resource PORT --term MS
+#include <CLI/CLI.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+#include <cstdio>
+#include <istream>
+#include <random>
+
+#include "base/config/endpoint.h"
+#include "fleet/node/node.h"
+
+namespace {
+
+namespace asio = boost::asio;
+namespace fl = brackenspoke::fleet;
+using Steady = std::chrono::steady_clock;
+using Tcp = asio::ip::tcp;
+using std::chrono::milliseconds;
+
+class NoFacts : public fl::Facts {
+ public:
+  bool Listed(const std::string&) const override { return false; }
+  void OnVerdict(const fl::Verdict&) override {}
+  void OnKey(const fl::KeySite&, fl::UnixMs) override {}
+  void OnShare(int) override {}
+  void OnJoined() override {}
+  void OnRole(const std::string&, fl::Role) override {}
+  void OnDutyFact(const fl::DutyFact&) override {}
+};
+
+long long Count(Steady::time_point moment) { return moment.time_since_epoch().count(); }
+
+class Actor {
+ public:
+  Actor(asio::io_context& io, const fl::FleetSection& section, const std::string& name,
+        const std::string& votes, unsigned short resource)
+      : name_(name),
+        random_(std::random_device()()),
+        node_(io, section, name, random_(), facts_, votes),
+        timer_(io),
+        resource_(io) {
+    resource_.connect(Tcp::endpoint(asio::ip::address_v4::loopback(), resource));
+    Arm();
+  }
+
+ private:
+  // Takes a guard, and acts on it a little later, sometimes much later.
+  void Arm() {
+    timer_.expires_after(milliseconds(guard_ && random_() % 32 == 0 ? random_() % 4000 : random_() % 10));
+    timer_.async_wait([this](const boost::system::error_code& failed) {
+      if (failed) return;
+      if (guard_)
+        Act(*std::exchange(guard_, std::nullopt));
+      else if ((guard_ = node_.Guard(fl::kMaintenanceDuty)))
+        began_ = Count(Steady::now());
+      Arm();
+    });
+  }
+
+  // The resource looks at deadline and token, and says when it took the write, if it did.
+  void Act(const fl::LeaseGuard& guard) {
+    asio::write(resource_,
+                asio::buffer(name_ + " " + std::to_string(guard.token()) + " " + std::to_string(began_) +
+                             " " + std::to_string(Count(guard.deadline())) + "\n"));
+    asio::read_until(resource_, answer_, '\n');
+    std::string answer;
+    std::getline(std::istream(&answer_), answer);
+    std::printf("act token=%llu begin=%lld end=%lld %s\n", static_cast<unsigned long long>(guard.token()),
+                began_, Count(Steady::now()), answer.c_str());
+    std::fflush(stdout);
+  }
+
+  const std::string name_;
+  std::mt19937_64 random_;
+  NoFacts facts_;
+  fl::Node node_;
+  asio::steady_timer timer_;
+  Tcp::socket resource_;
+  asio::streambuf answer_;
+  std::optional<fl::LeaseGuard> guard_;  // of the act under way
+  long long began_ = 0;
+};
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app("acts for a duty");
+  std::string name, bind, advertise, votes;
+  std::vector<std::string> seeds;
+  unsigned short resource = 0;
+  int term = 2000;
+  app.add_option("--name", name)->required();
+  app.add_option("--bind", bind)->required();
+  app.add_option("--advertise", advertise)->required();
+  app.add_option("--seeds", seeds)->required();
+  app.add_option("--votes", votes)->required();
+  app.add_option("--resource", resource)->required();
+  app.add_option("--term", term);
+  CLI11_PARSE(app, argc, argv);
+  fl::FleetSection section;
+  section.on = true;
+  section.bind = brackenspoke::ParseUdpEndpoint(bind).value();
+  section.advertise = brackenspoke::ParseUdpEndpoint(advertise).value();
+  for (const std::string& seed : seeds) section.seeds.push_back(brackenspoke::ParseUdpEndpoint(seed).value());
+  section.probe_interval = milliseconds(200);
+  section.sync_interval = milliseconds(500);
+  section.lease_term = milliseconds(term);
+  asio::io_context io;
+  const Actor actor(io, section, name, votes, resource);
+  io.run();
+}
--- a/tests/fleet/lease_test.cpp
+++ b/tests/fleet/lease_test.cpp
@@ -117,6 +117,20 @@
     }
   }
 
+  // The member's file of maintenance comes to name the server.
+  static bool WaitUntilOut(Cluster& cluster, std::size_t member) {
+    const auto until = std::chrono::steady_clock::now() + kBound;
+    while (std::chrono::steady_clock::now() < until) {
+      for (const auto& entry : std::filesystem::directory_iterator(cluster[member].folder->path)) {
+        if (entry.path().extension() != ".maintenance") continue;
+        std::ifstream in(entry.path());
+        if (std::string(std::istreambuf_iterator<char>(in), {}) == "s-1\n") return true;
+      }
+      std::this_thread::sleep_for(milliseconds(10));
+    }
+    return false;
+  }
+
   static constexpr const char* kHolds = "lease duty=discovery role=holder";
   Backend server;
   CountingDiscovery discovery;
@@ -228,18 +242,24 @@
   ASSERT_TRUE(cluster->process(other).WaitFor("lease duty=maintenance role=follower"));
   EXPECT_TRUE(Call((*cluster)[other].operators, "DETACH s-1").starts_with("NAK LEASE-6 "));
   EXPECT_EQ(Call((*cluster)[holder].operators, "DETACH s-1"), "ACK detached");
-  const auto until = std::chrono::steady_clock::now() + kBound;
-  const auto file = [&] {
-    for (const auto& entry : std::filesystem::directory_iterator((*cluster)[other].folder->path))
-      if (entry.path().extension() == ".maintenance") {
-        std::ifstream in(entry.path());
-        return std::string(std::istreambuf_iterator<char>(in), {});
-      }
-    return std::string();
+  EXPECT_TRUE(WaitUntilOut(*cluster, other));
+}
+
+TEST_F(Leased, WithoutAQuorumMaintenanceIsRefusedWithACodeAndNothingIsChanged) {
+  const auto cluster = Start();
+  cluster->Cut({0, 1});
+  // Whether a call to one of these is answered so in the end.
+  const auto answered = [&](const std::vector<std::size_t>& members, const std::string& answer) {
+    const auto until = std::chrono::steady_clock::now() + kBound;
+    for (; std::chrono::steady_clock::now() < until; std::this_thread::sleep_for(milliseconds(20)))
+      for (const std::size_t member : members)
+        if (Call((*cluster)[member].operators, "DETACH s-1").starts_with(answer)) return true;
+    return false;
   };
-  while (file() != "s-1\n" && std::chrono::steady_clock::now() < until)
-    std::this_thread::sleep_for(milliseconds(10));
-  EXPECT_EQ(file(), "s-1\n");
+  ASSERT_TRUE(answered({0}, "NAK LEASE-7"));
+  cluster->Heal();
+  ASSERT_TRUE(answered({0, 1, 2, 3, 4}, "ACK detached"));
+  for (std::size_t i = 0; i < 5; ++i) EXPECT_TRUE(WaitUntilOut(*cluster, i)) << i;
 }
 
 TEST_F(Leased, HandOffsUnder30PercentLossAreBounded) {
--- /dev/null
+++ b/tests/fleet/lease_voter_test.cpp
@@ -0,0 +1,154 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// What a voter refuses and keeps, and what a guard is good for.
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <fstream>
+
+#include "fleet/lease/failures.h"
+#include "fleet/lease/guard.h"
+#include "fleet/lease/leases.h"
+#include "fleet/lease/vote_file.h"
+#include "fleet/wire/codec.h"
+#include "harness.h"
+
+namespace brackenspoke::testing::fleet {
+namespace {
+
+namespace fl = brackenspoke::fleet;
+using Verb = fl::LeaseMessage::Verb;
+using Why = fl::LeaseMessage::Why;
+
+const brackenspoke::Time kNow{std::chrono::hours(1)};
+const fl::LeaseTerms kTerms{milliseconds(3000), milliseconds(100), 7};
+
+fl::LeaseMessage AskOf(const std::string& holder, fl::Token token) {
+  fl::LeaseMessage ask;
+  ask.duty.assign(1, 'd');
+  ask.holder = holder;
+  ask.token = token;
+  ask.request = 1;
+  ask.term_ms = 3000, ask.drift_ms = 100, ask.voters = 7;
+  return ask;
+}
+
+struct Quiet : fl::Leases::Outlet {
+  void Send(const fl::Leases::Endpoint&, const fl::LeaseMessage& message) override {
+    sent.push_back(message);
+  }
+  void OnRole(const std::string&, fl::Role, fl::Token, brackenspoke::Span, std::string_view) override {}
+  void OnFailure(const brackenspoke::Failure& failure) override { failures.push_back(failure.Text()); }
+  std::vector<fl::LeaseMessage> sent;
+  std::vector<std::string> failures;
+};
+
+fl::LeaseOptions OptionsOf(unsigned short voters) {
+  fl::LeaseOptions options;
+  options.holder = "a/1";
+  for (unsigned short v = 1; v <= voters; ++v)
+    options.voters.emplace_back(boost::asio::ip::address_v4::loopback(), v);
+  options.address = options.voters[0];
+  options.duties = {{"d", fl::DutyKind::kExclusive}};
+  options.votes.emplace();
+  return options;
+}
+
+TEST(Voter, RefusesOtherFiguresAndTheAskerNamesMemberAndFigure) {
+  struct Case {
+    const char* name;
+    void (*change)(fl::LeaseMessage&);
+    Why why;
+    const char* said;
+  };
+  for (const Case& c :
+       {Case{"term", [](fl::LeaseMessage& m) { m.term_ms = 5000; }, Why::kTerm, "LEASE-1"},
+        Case{"drift", [](fl::LeaseMessage& m) { m.drift_ms = 200; }, Why::kDrift, "LEASE-2"},
+        Case{"voters", [](fl::LeaseMessage& m) { m.voters = 8; }, Why::kVoters, "LEASE-3"},
+        Case{"older version", [](fl::LeaseMessage& m) { m.request = m.term_ms = m.drift_ms = m.voters = 0; },
+             Why::kTerm, "LEASE-1"}}) {
+    SCOPED_TRACE(c.name);
+    fl::Voter voter(kTerms, kNow, fl::StoredVotes{}, nullptr);
+    fl::LeaseMessage ask = AskOf("a/1", 5);
+    c.change(ask);
+    fl::LeaseMessage answer = voter.Answer(kNow, ask);
+    EXPECT_EQ(answer.verb, Verb::kDeny);
+    EXPECT_EQ(answer.why, c.why);
+    Quiet outlet;
+    fl::Leases leases(OptionsOf(3), kNow, outlet);
+    leases.Tick(kNow + milliseconds(1500), 1);
+    ASSERT_FALSE(outlet.sent.empty());
+    answer.asked = outlet.sent.front().token;
+    for (int i = 0; i < 2; ++i) leases.Receive(kNow + milliseconds(1500), OptionsOf(3).voters[1], answer);
+    ASSERT_EQ(outlet.failures.size(), 1u) << "once";
+    EXPECT_TRUE(outlet.failures[0].starts_with(c.said)) << outlet.failures[0];
+    EXPECT_NE(outlet.failures[0].find("127.0.0.1:2"), std::string::npos) << outlet.failures[0];
+  }
+}
+
+TEST(Voter, AnOlderMembersMessageNamesNoRequestAndNoTerm) {
+  fl::Message message;
+  message.kind = fl::Message::Kind::kLease;
+  message.sender = {"n1", {boost::asio::ip::address_v4::loopback(), 1}, fl::MemberState::kAlive, 1, ""};
+  message.lease = AskOf("a/1", 5);
+  auto packed = nlohmann::json::from_msgpack(fl::Encode("f", message));
+  EXPECT_EQ(std::get<fl::Message>(fl::Decode("f", nlohmann::json::to_msgpack(packed))).lease->term_ms, 3000u);
+  packed["l"].erase(packed["l"].begin() + 6, packed["l"].end());
+  const auto older = std::get<fl::Message>(fl::Decode("f", nlohmann::json::to_msgpack(packed)));
+  EXPECT_EQ(older.lease->request, 0u);
+  fl::Voter voter(kTerms, kNow, fl::StoredVotes{}, nullptr);
+  EXPECT_EQ(voter.Answer(kNow, *older.lease).verb, Verb::kDeny);
+}
+
+TEST(Voter, KeepsAVoteBeforeItGrantsAndIsBoundByItInItsNextLife) {
+  const Folder folder;
+  const std::string path = folder.path / "v.votes";
+  const std::vector<std::string> voters{"a:1", "b:2", "c:3"};
+  fl::VoteFile file(path, "n1", voters);
+  const auto none = file.Load();
+  ASSERT_TRUE(none);
+  EXPECT_FALSE(none->has_value());
+  {
+    fl::Voter fresh(kTerms, kNow, *none, &file);
+    EXPECT_EQ(fresh.Answer(kNow + milliseconds(3099), AskOf("a/1", 5)).why, Why::kSilent);
+    EXPECT_FALSE(std::filesystem::exists(path)) << "a start within the silence is one without the file, too";
+    EXPECT_EQ(fresh.Answer(kNow + milliseconds(3100), AskOf("a/1", 5)).verb, Verb::kGrant);
+  }
+  fl::VoteFile again(path, "n1", voters);
+  const auto kept = again.Load();
+  ASSERT_TRUE(kept && kept->has_value());
+  fl::Voter voter(kTerms, kNow, *kept, &again);
+  EXPECT_EQ(voter.Answer(kNow, AskOf("b/1", 6)).why, Why::kHeld);
+  EXPECT_EQ(voter.Answer(kNow, AskOf("a/1", 5)).verb, Verb::kGrant) << "a renewal needs no silence";
+  EXPECT_EQ(voter.Answer(kNow + milliseconds(3100), AskOf("b/1", 5)).why, Why::kHeld) << "tokens never fall";
+  EXPECT_EQ(voter.Answer(kNow + milliseconds(3100), AskOf("b/1", 6)).verb, Verb::kGrant);
+  // One more voter, or one less; a flipped byte; no room.
+  EXPECT_TRUE(fl::VoteFile(path, "n1", {"a:1", "b:2"}).Load());
+  EXPECT_EQ(&fl::VoteFile(path, "n1", {"a:1", "b:2", "d:4"}).Load().error().kind(), &fl::kVotersLeapt);
+  std::fstream(path, std::ios::in | std::ios::out | std::ios::binary).seekp(-1, std::ios::end).put('\x7f');
+  EXPECT_EQ(&fl::VoteFile(path, "n1", voters).Load().error().kind(), &fl::kVotesRefused);
+  fl::VoteFile nowhere(folder.path / "no" / "such", "n1", voters);
+  fl::Voter unkept(kTerms, kNow, fl::StoredVotes{}, &nowhere);
+  EXPECT_EQ(unkept.Answer(kNow, AskOf("a/1", 5)).why, Why::kDisk);
+}
+
+TEST(Guard, HoldsUntilItsDeadlineOrTheGiveBackAndTheResourceLooks) {
+  Quiet outlet;
+  fl::Leases leases(OptionsOf(1), kNow, outlet);
+  EXPECT_FALSE(leases.Guard(kNow, "d")) << "nobody is alone in an exclusive duty";
+  const auto then = kNow + milliseconds(1500);
+  leases.Tick(then, 9);
+  auto guard = leases.Guard(then, "d");
+  ASSERT_TRUE(guard);
+  fl::Fence fence;
+  EXPECT_TRUE(fence.Admit(*guard, then + milliseconds(2899)));
+  EXPECT_EQ(&fence.Admit(*guard, then + milliseconds(2900)).error().kind(), &fl::kPastDeadline);
+  EXPECT_TRUE(fence.Admit("d", guard->token() + 1));
+  EXPECT_EQ(&fence.Admit(*guard, then).error().kind(), &fl::kOlderToken);
+  leases.Release(then);
+  EXPECT_FALSE(guard->Holds(then));
+  static_assert(!std::is_copy_constructible_v<fl::LeaseGuard>);
+}
+
+}  // namespace
+}  // namespace brackenspoke::testing::fleet
