Take a neighbour's overflow into the room that is left, and tell what is spare

Submit.spilled: it goes at once into SpillShare's part of the room that own requests leave of the limit in flight, behind all that is held, or is refused at once. It has a count of its own, so that it takes no room from own requests; no quota is charged and no usual time learnt from it; it is not sent twice. Spare() gives the room left as hinted work a ms, in the mean and less a deviation, nothing while requests are held or for a second after a refusal, and the wait of a new request.

The tests cover the account's word, the part of the room in a table, one send only, 20 random runs in which no spilled request goes while an own one waits, and the spare idle, filling, held, refused and recovered.

--- a/include/brackenspoke/balancer.h
+++ b/include/brackenspoke/balancer.h
@@ -106,7 +106,7 @@
   double work_ms = 0;      // hinted work on a standard core
   Share share = Share::kUnknown;
   // A neighbour site's overflow: it goes at once, within SpillShare and behind all requests of this site, or
-  // is refused at once. It is never held.
+  // is refused at once. It is never held, nor sent twice, and no quota is charged for it.
   bool spilled = false;
 };
 struct Uploaded {
@@ -177,8 +177,8 @@
   double work_per_ms = 0, warm_work_per_ms = 0;  // of all servers; of a warm one
   double stretch = 0;                            // time over hinted work, of large requests
 };
-// Spilled requests in flight may be worth this part, from 0 to 1, of the room that this proxy's limit in
-// flight has left beyond its own requests. 0, as before the first such event: all are refused.
+// Spilled requests may be in flight up to this part, from 0 to 1, of the room that this proxy's own requests
+// leave of its limit in flight. 0, as before the first such event: all are refused.
 struct SpillShare {
   double most_part = 0;
 };
@@ -222,11 +222,12 @@
 };
 using Action = std::variant<Dispatch, Refuse, Fail, SetTimer, Subscribe, CloseIdle, Log, Ejected>;
 
-// What admission would still let through beyond what it takes now, as far as this proxy can tell. Nothing
-// where requests are held or were refused for want of room within the last second, or no server is usable.
+// What admission would still let through beyond what it takes now, as far as this proxy can tell: the room
+// left of its limit in flight, by Little's law, at the time that a request may take there. Nothing where
+// requests are held, or were refused unsent within the last second, or no server is in service.
 struct Spare {
-  double work_per_ms = 0;        // hinted work on standard cores, in the mean
-  double least_work_per_ms = 0;  // a lower bound: less by the mean's deviation as seen; 0 to the mean
+  double work_per_ms = 0;        // hinted work on standard cores, in the mean; 0 or more
+  double least_work_per_ms = 0;  // the same less one deviation of the number in flight; 0 or more
   Duration wait{0};              // that a request which came now would be held for, about
 };
 
@@ -243,7 +244,7 @@
 
   Pace Learnt() const;
 
-  // As of the last event, its rates aged to `now`. Changes nothing.
+  // As of the last event; `now` only ends the second after a refusal.
   brackenspoke::Spare Spare(TimePoint now) const;
 
  private:
--- a/src/policy/admission.h
+++ b/src/policy/admission.h
@@ -33,11 +33,13 @@
   // out others.
   double Limit() const {
     const double least = std::max(Floor(), kLeastPerServer * servers.listed / x.settings.balancers);
+    const double mean = traffic.served_rate * Useful();
+    return std::max(least, mean + kChance * std::sqrt(mean));
+  }
+  double Useful() const {  // ms that a request may take at that limit
     const double uncrowded =
         traffic.stretch > 0 ? traffic.stretch * traffic.request_work.mean : traffic.mean_aim.mean;
-    const double useful = std::min(kQueueShare * traffic.mean_aim.mean, kCrowding * uncrowded);
-    const double mean = traffic.served_rate * useful;
-    return std::max(least, mean + kChance * std::sqrt(mean));
+    return std::min(kQueueShare * traffic.mean_aim.mean, kCrowding * uncrowded);
   }
 
   // Exception, where traffic is thin and a limit of one or two in flight too coarse: arrivals are refused by
@@ -53,7 +55,8 @@
   // What is too large to be in time is worth little, or nothing: it must not take the place of others. Each
   // such finding weakens the next: a slow spell must not shut a class out for good.
   void Value(Request& r, const Submit& e, Duration aim) {
-    r.value = r.rules.worth * (WithinShare(e.tenant, e.share) ? 1 : x.settings.over_share_worth);
+    const bool inside = e.spilled || WithinShare(e.tenant, e.share);  // what is spilled was charged before
+    r.value = r.rules.worth * (inside ? 1 : x.settings.over_share_worth);
     const bool at_ease = servers.detector.thin && Pressure() < kAtEase;  // it takes nobody's place
     const Duration alone(at_ease || traffic.stretch_votes < kLeastVotes ? 0 : r.work * traffic.stretch);
     if (alone > aim) r.value *= x.now + alone > r.due ? 0 : r.rules.late_worth;
@@ -63,7 +66,7 @@
   // Exception: what has passed of a client's deadline has passed of its aim. A client's last try has what is
   // left of its deadline, all others of a class have the same time: the usual one, found by vote.
   Duration Elapsed(const Submit& e, ClassState& seen) const {
-    if (e.uploading) return Duration(0);
+    if (e.uploading || e.spilled) return Duration(0);
     const Duration left = e.due - x.now;
     const bool as_usual = std::abs((left - seen.usual_time).count()) <= kSameTime * seen.usual_time.count();
     if (as_usual) {
--- a/src/policy/balancer.cpp
+++ b/src/policy/balancer.cpp
@@ -15,6 +15,7 @@
 
 constexpr int kMostMisses = 8;          // held requests tried in a row without room for any
 constexpr double kMostWork = 1e6;       // ms; a larger hint is taken as this
+constexpr Duration kLately{1000};       // after a refusal nothing is spare for so long
 constexpr Duration kHousekeeping{100};  // rates are sampled this often
 
 // What is kept by index, under the indices that now stand for those of before.
@@ -50,6 +51,16 @@
     return {traffic_.served_rate, traffic_.work_rate, cold_.warm_rate, traffic_.stretch};
   }
 
+  brackenspoke::Spare Spare(TimePoint now) const {
+    const double limit = admission_.Limit(), useful = admission_.Useful();
+    const double left = limit - static_cast<double>(awaited_.size()) - spilled_;
+    if (left <= 0 || !held_.empty())
+      return {0, 0, Duration(static_cast<double>(held_.size() + 1) / std::max(traffic_.served_rate, 1e-3))};
+    if (useful <= 0 || servers_.in_service <= 0 || now - refused_at_ < kLately) return {};
+    const double work = traffic_.request_work.mean / useful;  // a ms, of one in flight
+    return {left * work, std::max(0.0, left - std::sqrt(limit)) * work, Duration(0)};
+  }
+
  private:
   Request* Find(RequestId id) {
     const auto found = requests_.find(id);
@@ -61,16 +72,13 @@
   void On(const Submit& e) {
     if (requests_.count(e.request)) return;
     // Where its class is not known, nothing is of what it may do twice; it never ran: it may be tried again.
-    if (e.spilled || e.request_class < 0 || e.request_class >= static_cast<int>(x_.settings.classes.size()))
+    if (e.request_class < 0 || e.request_class >= static_cast<int>(x_.settings.classes.size()))
       return x_.Do(Refuse{e.request, Duration(0)});
-    Request r{.id = e.request,
-              .rules = x_.settings.classes[e.request_class],
-              .seen = classes_[e.request_class],
-              .most_attempts = x_.settings.max_attempts,
-              .key = e.key,
-              .arrived = x_.now,
-              .due = e.due,
-              .uploading = e.uploading};
+    Request r;
+    r.id = e.request, r.key = e.key, r.uploading = e.uploading, r.spilled = e.spilled;
+    r.arrived = x_.now, r.due = e.due;
+    r.rules = x_.settings.classes[e.request_class], r.seen = classes_[e.request_class];
+    r.most_attempts = e.spilled ? 1 : x_.settings.max_attempts;
     ClassState& seen = *r.seen;
     Spread& all = traffic_.request_work;
     const Duration aim = r.rules.aim - admission_.Elapsed(e, seen);
@@ -82,6 +90,7 @@
     if (r.value <= 0 || admission_.Throttled(r)) return Finish(r);
     const Duration useful = aim - Duration(seen.latency.mean + seen.latency.deviation);
     r.refuse_at = std::min(r.due - x_.settings.tick * 2, x_.now + std::max(useful, r.rules.aim / 4));
+    if (r.spilled) r.refuse_at = x_.now;
     Place(requests_.emplace(r.id, std::move(r)).first->second);
     Forget(requests_.at(e.request));
   }
@@ -142,11 +151,16 @@
     Place(r);
   }
 
+  // Exception: a neighbour's request goes behind all that is held, into a part of the room that is left.
+  bool HasRoom(const Request& r) const {
+    const double left = admission_.Limit() - static_cast<double>(awaited_.size());
+    return r.spilled ? held_.empty() && spilled_ + 1 <= most_spilled_ * left : left > 0;
+  }
+
   // Sends the request or holds it; true if sent.
   bool Place(Request& r) {
     const Permission may = Permitted(r, x_.now, servers_.all);
-    const bool room = static_cast<double>(awaited_.size()) < admission_.Limit();
-    Server* s = may.dispatch && room ? picker_.Pick(r, may.anchor) : nullptr;
+    Server* s = may.dispatch && HasRoom(r) ? picker_.Pick(r, may.anchor) : nullptr;
     if (s) {
       Unhold(r);
       Send(r, *s);
@@ -184,7 +198,7 @@
                                        : std::max(0.0, retry_tokens_ - 1);
     const Duration timeout = TimeoutFor(r, s);
     if (s.own_count == 0) s.quiet_since = x_.now;
-    s.own_work += r.work, ++s.own_count;
+    s.own_work += r.work, ++s.own_count, spilled_ += r.spilled;
     cold_.Sent(s, r.work);
     if (x_.settings.warm_keys && r.key != 0) keys_.Met(r.key, servers_.IndexOf(s), x_.now);
     r.attempts.push_back({.server = servers_.IndexOf(s), .sent_at = x_.now});
@@ -196,7 +210,7 @@
   void Await(Request& r) {
     Attempt& a = r.attempts.back();
     a.overdue_at = r.seen->latency.samples < kYoung ? kNever : x_.now + r.seen->Unlikely(r.work);
-    awaited_.emplace(a.overdue_at, r.id, r.attempts.size() - 1);
+    if (!r.spilled) awaited_.emplace(a.overdue_at, r.id, r.attempts.size() - 1);
   }
 
   // Only a server that has gone silent gets a time-out short of the client's own: it owes answers, and has
@@ -215,7 +229,7 @@
 
   // Exception, where clients listen: one whose aim could not be met would come back only to be late, and take
   // the place of one in time. It is told to stay away for as long as it would have come back.
-  void Finish(Request& r) { Finish(r, std::min(x_.settings.max_retry_after, r.rules.deadline)); }
+  void Finish(Request& r) { Finish(r, std::min(x_.settings.max_retry_after, r.rules.deadline) * !r.spilled); }
   void Finish(Request& r, Duration retry_after) {
     const bool refuse = Permitted(r, x_.now, servers_.all).refuse;
     x_.Say(
@@ -224,6 +238,7 @@
         "; ", awaited_.size(), " in flight, ", held_.size(), " held");
     refuse ? x_.Do(Refuse{r.id, retry_after}) : x_.Do(Fail{r.id});
     r.finished = true;
+    if (!r.spilled && r.attempts.empty()) refused_at_ = x_.now;
   }
 
   void Forget(Request& r) {
@@ -233,7 +248,7 @@
   }
 
   void Learn(const Request& r, const AttemptEnded& e, Server& s) {
-    s.own_work -= r.work;
+    s.own_work -= r.work, spilled_ -= r.spilled;
     if (e.outcome != Outcome::kTimeout) s.quiet_since = x_.now;
     if (--s.own_count == 0) s.own_work = 0;
     const bool ok = e.outcome == Outcome::kOk;
@@ -305,7 +320,7 @@
 
   void On(const ServerShare& e) { picker_.share = e.most_in_flight, room_ = true; }
   void On(const Sharing& e) { cold_.processes = std::max(1, e.processes); }
-  void On(const SpillShare&) {}
+  void On(const SpillShare& e) { most_spilled_ = std::clamp(e.most_part, 0.0, 1.0); }
   void On(const TimerFired&) {}
 
   void On(const ListUpdate& e) {
@@ -376,14 +391,15 @@
   Picker picker_{x_, servers_, cold_, traffic_, keys_};
   Admission admission_{x_, servers_, traffic_};
   ListCalls calls_{x_};
-  double retry_tokens_ = kRetryBurst;
+  double retry_tokens_ = kRetryBurst, most_spilled_ = 0;  // the latter of the room that is left
+  int spilled_ = 0;                                       // neighbours' attempts in flight
   std::vector<std::shared_ptr<ClassState>> classes_;
   std::unordered_map<RequestId, Request> requests_;
   std::set<std::tuple<double, Duration, RequestId>> held_;  // the most worth first, then the latest
   std::set<std::pair<TimePoint, RequestId>> wakeups_;
   std::set<std::tuple<TimePoint, RequestId, std::size_t>> awaited_;  // attempts, by when an answer is overdue
   bool room_ = false;  // something changed that may let a held request go
-  TimePoint armed_ = kNever, interval_end_{}, sample_at_{}, sampled_at_{};
+  TimePoint armed_ = kNever, interval_end_{}, sample_at_{}, sampled_at_{}, refused_at_{Duration(-1e300)};
 };
 
 Balancer::Balancer(Settings settings, std::uint64_t seed)
@@ -392,10 +408,8 @@
 Balancer::Balancer(Balancer&&) noexcept = default;
 Balancer& Balancer::operator=(Balancer&&) noexcept = default;
 Pace Balancer::Learnt() const { return impl_->Learnt(); }
-Spare Balancer::Spare(TimePoint) const { return {}; }
+Spare Balancer::Spare(TimePoint now) const { return impl_->Spare(now); }
 
-void Balancer::Handle(TimePoint now, const Event& event, std::vector<Action>* actions) {
-  impl_->Handle(now, event, actions);
-}
+void Balancer::Handle(TimePoint now, const Event& e, std::vector<Action>* out) { impl_->Handle(now, e, out); }
 
 }  // namespace brackenspoke
--- a/src/policy/records.h
+++ b/src/policy/records.h
@@ -69,7 +69,7 @@
   std::vector<Attempt> attempts{};
   TimePoint begun{};  // of a streamed answer
   bool finished = false, streaming = false, held = false, repeatable = true;
-  bool uploading = false;  // its last byte has not come
+  bool uploading = false, spilled = false;  // its last byte has not come; from a neighbour site
   bool Outstanding() const {
     return std::any_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.outstanding; });
   }
--- /dev/null
+++ b/tests/federation_test.cpp
@@ -0,0 +1,165 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// What the federation tells the module: a partner's account, a neighbour's overflow; and what it asks: its
+// spare.
+#include <gtest/gtest.h>
+
+#include <random>
+#include <set>
+
+#include "harness.h"
+
+namespace brackenspoke::testing {
+namespace {
+
+Submit Request(const Rig& rig, RequestId id, Share share, bool spilled, int cls = 2) {
+  Submit s;
+  s.request = id;
+  s.request_class = cls;
+  s.has_hint = true;
+  s.work_ms = 10;
+  s.due = At(rig.now + 1000);
+  s.share = share;
+  s.spilled = spilled;
+  return s;
+}
+
+// One request is within the static quota, which an account's word neither reads nor spends.
+TEST(Federation, AnAccountsWordReplacesTheDividedQuota) {
+  const struct {
+    Share first, second;
+    bool first_goes, second_goes;
+  } table[] = {{Share::kUnknown, Share::kUnknown, true, false}, {Share::kOver, Share::kUnknown, false, true},
+               {Share::kInside, Share::kUnknown, true, true},   {Share::kUnknown, Share::kInside, true, true},
+               {Share::kUnknown, Share::kOver, true, false},    {Share::kInside, Share::kInside, true, true}};
+  for (const auto& row : table) {
+    SCOPED_TRACE(&row - table);
+    Settings settings = Usual();
+    settings.tenants = {{0.4}};
+    settings.over_share_worth = 0;
+    Rig rig(settings);
+    rig.Servers(2);
+    rig.Do(Request(rig, 1, row.first, false));
+    EXPECT_EQ(rig.SentTo(1).has_value(), row.first_goes);
+    rig.Do(Request(rig, 2, row.second, false));
+    EXPECT_EQ(rig.SentTo(2).has_value(), row.second_goes);
+  }
+}
+
+// A young proxy has room for two in flight; requests of its own have all of it, whatever is spilled.
+TEST(Federation, SpilledRequestsHaveTheirPartOfTheRoomThatIsLeft) {
+  const struct {
+    double part;
+    int own, spilled;
+  } table[] = {{0, 0, 0}, {0.4, 0, 0}, {0.5, 0, 1}, {1, 0, 2}, {1, 1, 1}, {0.5, 1, 0}, {1, 2, 0}, {7, 0, 2}};
+  for (const auto& row : table) {
+    SCOPED_TRACE(&row - table);
+    Rig rig;
+    rig.Servers(1);
+    if (row.part > 0) rig.Do(SpillShare{row.part});
+    RequestId id = 0;
+    for (int i = 0; i < row.own; ++i) ASSERT_TRUE(rig.Ask(++id));
+    int sent = 0;
+    for (int i = 0; i < 4; ++i) {
+      rig.Do(Request(rig, ++id, Share::kUnknown, true));
+      sent += rig.SentTo(id).has_value();
+      EXPECT_EQ(rig.Count<Dispatch>() + rig.Count<Refuse>(), 1) << "it goes at once or is refused at once";
+    }
+    EXPECT_EQ(sent, row.spilled);
+    for (int i = row.own; i < 2; ++i) EXPECT_TRUE(rig.Ask(++id)) << "own requests have their room";
+  }
+}
+
+TEST(Federation, ASpilledRequestIsNotSentTwice) {
+  for (const auto& [outcome, refused] : {std::pair(Outcome::kFull, true), {Outcome::kReset, false}}) {
+    Rig rig;
+    rig.Servers(3);
+    rig.Do(SpillShare{1});
+    rig.Do(Request(rig, 1, Share::kUnknown, true));
+    rig.End(1, 0, rig.SentTo(1).value(), outcome);
+    EXPECT_EQ(rig.Count<Refuse>(), refused);
+    EXPECT_EQ(rig.Count<Fail>(), !refused);
+    EXPECT_EQ(rig.Count<Dispatch>(), 0);
+  }
+}
+
+TEST(Federation, NoSpilledRequestGoesWhileAnOwnOneWaits) {
+  int spilled = 0, waited = 0;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    std::mt19937_64 rng(seed);
+    Rig rig(Usual(), seed);
+    rig.Servers(2);
+    rig.Do(SpillShare{1});
+    std::set<RequestId> own, waiting;
+    std::vector<Dispatch> out;
+    for (RequestId id = 1; id <= 2000; ++id) {
+      rig.now += static_cast<double>(rng() % 5);
+      const std::size_t before = rig.sent.size();
+      if (rng() % 3 == 0 && !out.empty()) {
+        std::swap(out[rng() % out.size()], out.back());
+        const Dispatch d = out.back();
+        out.pop_back();
+        rig.End(d.request, 0, d.server, Outcome::kOk, 20);
+      } else if (rng() % 3) {
+        own.insert(id), waiting.insert(id);
+        rig.Ask(id, 2, 10);
+      } else {
+        const bool behind = !waiting.empty();
+        rig.Do(Request(rig, id, Share::kUnknown, true));
+        spilled += rig.SentTo(id).has_value();
+        waited += behind;
+        EXPECT_FALSE(behind && rig.SentTo(id));
+      }
+      for (const Action& a : rig.actions) {
+        if (const auto* r = std::get_if<Refuse>(&a)) waiting.erase(r->request);
+      }
+      for (std::size_t i = before; i < rig.sent.size(); ++i) {
+        waiting.erase(rig.sent[i].request);
+        out.push_back(rig.sent[i]);
+      }
+    }
+  }
+  EXPECT_GT(spilled, 100);
+  EXPECT_GT(waited, 100);
+}
+
+TEST(Federation, SpareIsWhatAdmissionHasLeft) {
+  Rig rig;
+  EXPECT_EQ(rig.Spare().work_per_ms, 0) << "nothing is known";
+  rig.Servers(3);
+  RequestId id = 0;
+  const auto answer = [&](int n) {
+    for (int i = 0; i < n; ++i) {
+      rig.Tick(10);
+      if (const auto s = rig.Ask(++id, 2, 10, 5000)) rig.End(id, 0, *s, Outcome::kOk, 20);
+    }
+  };
+  answer(500);
+  const Spare idle = rig.Spare();
+  EXPECT_GT(idle.work_per_ms, 0);
+  EXPECT_GT(idle.least_work_per_ms, 0);
+  EXPECT_LT(idle.least_work_per_ms, idle.work_per_ms);
+  EXPECT_EQ(idle.wait.count(), 0);
+
+  std::vector<Dispatch> out;
+  double before = idle.work_per_ms;
+  while (out.size() < 1000 && rig.Ask(++id, 2, 10, 5000)) {
+    out.push_back(rig.sent.back());
+    EXPECT_LT(rig.Spare().work_per_ms, before) << "each one takes its room";
+    before = rig.Spare().work_per_ms;
+  }
+  ASSERT_LT(out.size(), 1000u);
+  EXPECT_EQ(rig.Spare().work_per_ms, 0) << "one is held";
+  EXPECT_GT(rig.Spare().wait.count(), 0);
+
+  rig.Do(ClientGone{id});
+  EXPECT_FALSE(rig.Ask(++id, 2, 10, 5)) << "too late to be held";
+  EXPECT_EQ(rig.Count<Refuse>(), 1);
+  for (const Dispatch& d : out) rig.End(d.request, 0, d.server, Outcome::kOk, 20);
+  EXPECT_EQ(rig.Spare().work_per_ms, 0) << "one was refused just now";
+  rig.now += 1000;
+  EXPECT_GT(rig.Spare().work_per_ms, 0);
+}
+
+}  // namespace
+}  // namespace brackenspoke::testing
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -118,6 +118,7 @@
   }
 
   Pace Learnt() const { return balancer_.Learnt(); }
+  brackenspoke::Spare Spare() const { return balancer_.Spare(At(now)); }
 
   std::vector<Dispatch> sent;
 
