--- a/tests/fleet/lease_actor.cpp
+++ b/tests/fleet/lease_actor.cpp
@@ -46,7 +46,8 @@
         const std::string& votes, unsigned short resource)
       : name_(name),
         random_(std::random_device()()),
-        node_(io, section, name, random_(), facts_, votes),
+        node_(io, section, name, random_(), facts_,
+              fl::NodeOptions{.component = "fleet", .duties = fl::SiteDuties(), .votes = votes}),
         timer_(io),
         resource_(io) {
     resource_.connect(Tcp::endpoint(asio::ip::address_v4::loopback(), resource));
