--- a/model/quota/search.cpp
+++ b/model/quota/search.cpp
@@ -36,7 +36,8 @@
     for (const char* partner : {"isar", "lech", "work"}) {
       Budget& budget = budgets->partners[partner];
       budget.rate = Draw(100, 400) * kOne;
-      budget.burst = budget.rate * Draw(2, 20) / 10;
+      // Small bursts leave an overspend little to hide in.
+      budget.burst = std::max(budget.rate * Draw(2, 60) / 100, 8 * kOne);
       if (*partner == 'l') continue;
       // Up to all of the budget, with most of it anywhere.
       Milli left = budget.rate * Draw(2, 10) / 10;
@@ -50,14 +51,14 @@
     return budgets;
   }
 
-  // Each partner's traffic sits at one to three gateways at a time and moves.
+  // Each partner's traffic sits at up to nine gateways at a time and moves.
   void MoveLoads(Gateways& gateways, const Budgets& budgets) {
     for (const auto& [partner, budget] : budgets.partners)
       for (Moment at{0}; at < kRun; at += DrawMoment(milliseconds(300), seconds(3))) {
         std::vector<double> loads(gateways.size(), 0);
-        for (Milli n = Draw(1, 3); n > 0; --n)
+        for (Milli n = Draw(1, 9); n > 0; --n)
           loads[static_cast<std::size_t>(Draw(0, static_cast<Milli>(gateways.size()) - 1))] =
-              static_cast<double>(budget.rate) / kOne * static_cast<double>(Draw(1, 20)) / 10;
+              static_cast<double>(budget.rate) / kOne * static_cast<double>(Draw(5, 30)) / 10;
         gateways.world().At(at, [&gateways, partner = partner, loads] {
           for (std::size_t i = 0; i < loads.size(); ++i) gateways.SetLoad(i, partner, loads[i]);
         });
