--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -353,17 +353,23 @@
     return settings_.cold_from + (1 - settings_.cold_from) * std::max(0.0, age) / warm_up;
   }
 
+  // The rule counts requests, each as a mean one, and slow servers get the small ones: by hints alone one
+  // that started had got four times the number it could bear.
+  double ColdWork(double work) const { return std::max(work, request_work_.mean); }
+
   // A cold server gets, over the rule's window, its share of what a warm one serves for this proxy. All
   // proxies doing so, their sum is that share of what a warm server can do, whatever part of the traffic each
   // has. What was sent is no measure: an overloaded fleet is sent far more than it can do. Where that budget
   // is less than a request, one may go when the budget has paid for it, the first at a random point of that
   // time: hundreds of proxies that each allowed themselves a first one at once pushed servers over.
-  bool FitsColdBudget(Server& s, double work) {
+  bool FitsColdBudget(Server& s, double hinted) {
+    const double work = ColdWork(hinted);
     const double share = WarmShare(s);
     if (share >= 1) return true;
     const Duration window = settings_.overload_for * kWindowSlack;
     const double sent = s.sent.Within(now_, window);
-    const double rate = kColdCaution * settings_.fall_multiple * share * warm_rate_ / processes_;
+    const double weaker = std::max(1.0, SlownessOf(s) * share);  // than a warm one at its share
+    const double rate = kColdCaution * settings_.fall_multiple * share * warm_rate_ / processes_ / weaker;
     if (sent + work <= rate * settings_.overload_for.count()) return true;
     const double least =
         settings_.fall_multiple * settings_.cold_from * kColdLeast / (settings_.balancers * processes_);
@@ -461,7 +467,7 @@
     if (s.own_count == 0) s.quiet_since = now_;
     s.own_work += r.work;
     ++s.own_count;
-    if (WarmShare(s) < 1) s.sent.Add(now_, r.work);
+    if (WarmShare(s) < 1) s.sent.Add(now_, ColdWork(r.work));
     s.turn_since = now_, s.turn_phase = 1;
     if (settings_.warm_keys && r.key != 0) key_memory_.Met(r.key, IndexOf(s), now_);
     Attempt attempt;
@@ -646,7 +652,8 @@
 
   double Pressure() const { return std::max(crowding_ / kComfort, of_aim_ / kAimShare); }
 
-  bool WithinShare(int tenant) {
+  bool WithinShare(int tenant, Share share) {
+    if (share != Share::kUnknown) return share == Share::kInside;
     if (tenant < 0 || tenant >= static_cast<int>(tenant_tokens_.size())) return true;
     double& tokens = tenant_tokens_[tenant];
     if (tokens < 1) return false;
@@ -681,7 +688,7 @@
     r.arrived = now_;
     r.key = e.key;
     r.uploading = e.uploading;
-    if (e.request_class < 0 || e.request_class >= static_cast<int>(settings_.classes.size())) {
+    if (e.spilled || e.request_class < 0 || e.request_class >= static_cast<int>(settings_.classes.size())) {
       // Nothing is known of what it may do twice, and it never ran: the client may try again.
       out_->push_back(Refuse{r.id, Duration(0)});
       return;
@@ -700,7 +707,7 @@
     mean_aim_.Add(c.aim.count());
     if (now_ - std::exchange(asked_at_, now_) > kUnasked) asked_from_ = now_;
     asked_work_ += r.work;
-    r.value = c.worth * (WithinShare(e.tenant) ? 1 : settings_.over_share_worth);
+    r.value = c.worth * (WithinShare(e.tenant, e.share) ? 1 : settings_.over_share_worth);
     // What is too large to be in time is worth little, or nothing: it must not take the place of others. Each
     // such finding weakens the next: a slow spell must not shut a class out for good.
     const bool at_ease = fleet_.thin && Pressure() < kAtEase;  // it takes nobody's place, and may be lucky
@@ -790,6 +797,7 @@
   }
 
   void On(const TimerFired&) {}
+  void On(const SpillShare&) {}
 
   // ---- 7. Discovery -----------------------------------------------------------------------------------
   void On(const ListUpdate& e) {
@@ -1106,6 +1114,7 @@
 Balancer::Balancer(Balancer&&) noexcept = default;
 Balancer& Balancer::operator=(Balancer&&) noexcept = default;
 Pace Balancer::Learnt() const { return impl_->Learnt(); }
+Spare Balancer::Spare(TimePoint) const { return {}; }
 
 void Balancer::Handle(TimePoint now, const Event& event, std::vector<Action>* actions) {
   impl_->Handle(now, event, actions);
--- a/src/fleet/node/node.cpp
+++ b/src/fleet/node/node.cpp
@@ -9,6 +9,7 @@
 
 #include "base/log.h"
 #include "base/wall_clock.h"
+#include "fleet/lease/failures.h"
 #include "fleet/node/describe.h"
 
 namespace brackenspoke::fleet {
@@ -88,22 +89,42 @@
 void Node::StartLeases() {
   if (section_.lease_term.count() == 0) return Restore(kept_);
   LeaseOptions options;
-  options.holder = fmt::format("{}/{}", name_, membership_->self().last.incarnation);
+  options.holder = holder_ = fmt::format("{}/{}.{}", name_, membership_->self().last.incarnation,
+                                         Steady::now().time_since_epoch().count());
   options.address = section_.advertise;
   options.voters = section_.seeds;
   options.term = section_.lease_term;
   options.drift = section_.lease_drift;
   options.duties = options_.duties;
   options.seed = seed_;
+  LoadVotes(&options);
   leases_.emplace(std::move(options), Steady::now(), static_cast<Leases::Outlet&>(*this));
   if (away_) leases_->Release(Steady::now());
   Restore(kept_);
 }
 
+// Once the address is had: the process that had it before votes no more.
+void Node::LoadVotes(LeaseOptions* options) {
+  if (options_.votes.empty()) return;
+  std::vector<std::string> voters;
+  for (const Udp::endpoint& voter : options->voters) voters.push_back(Text(voter));
+  votes_ = std::make_unique<VoteFile>(options_.votes, name_, std::move(voters));
+  options->store = votes_.get();
+  auto loaded = votes_->Load();
+  if (loaded) {
+    options->votes = std::move(*loaded);
+    return;
+  }
+  options->may_vote = &loaded.error().kind() != &kVotersLeapt;
+  log::Error(options_.component, loaded.error().Text());
+}
+
+void Node::OnFailure(const Failure& failure) { log::Error(options_.component, failure.Text()); }
+
 Node::Kept Node::Keep() const {
   Kept kept = kept_;
   if (membership_) kept.incarnation = membership_->self().last.incarnation;
-  for (const std::string& duty : options_.duties)
+  for (const auto& [duty, kind] : options_.duties)
     if (leases_) kept.tokens[duty] = leases_->largest(duty);
   return kept;
 }
@@ -128,19 +149,26 @@
   log::Info(options_.component, fmt::format("lease duty={} role={} token={} left_ms={} why={}", duty,
                                             Name(role), token, left_ms, why));
   facts_.OnRole(duty, role);
-  if (role == Role::kHolder)
-    Publish(
-        duty, "lease/" + duty,
-        {{"holder", fmt::format("{}/{}", name_, membership_->self().last.incarnation)}, {"left_ms", left_ms}},
-        left);
+  const auto guard = Guard(duty);
+  if (!guard) return;
+  const auto published = Publish(*guard, "lease/" + duty, {{"holder", holder_}, {"left_ms", left_ms}}, left);
+  if (!published) log::Warn(options_.component, published.error().Text());
 }
 
 bool Node::Does(const std::string& duty) const {
-  if (!leases_) return true;
+  if (!leases_) {
+    const auto same = [&duty](const DutySpec& spec) { return spec.name == duty; };
+    const auto found = std::find_if(options_.duties.begin(), options_.duties.end(), same);
+    return !leased() || (found != options_.duties.end() && found->kind == DutyKind::kAvailable);
+  }
   const Role role = leases_->role(Steady::now(), duty);
   return role == Role::kHolder || role == Role::kAlone;
 }
 
+std::optional<LeaseGuard> Node::Guard(const std::string& duty) const {
+  return leases_ ? leases_->Guard(Steady::now(), duty) : std::nullopt;
+}
+
 bool Node::FollowerOf(const std::string& duty) const {
   return leases_ && leases_->role(Steady::now(), duty) == Role::kFollower;
 }
@@ -151,19 +179,20 @@
 
 std::string Node::HolderOf(const std::string& duty) const { return leases_ ? leases_->holder(duty) : ""; }
 
-void Node::Publish(const std::string& duty, const std::string& key, nlohmann::json value, Span lasts) {
-  const Token token = HeldToken(duty);
-  if (token == 0) return;
+Result<void> Node::Publish(const LeaseGuard& guard, const std::string& key, nlohmann::json value,
+                           Span lasts) {
+  if (!guard.Holds(Steady::now())) return tl::unexpected(Failure(kPastDeadline, key));
   const UnixMs now = UnixMilliseconds();
   const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(lasts).count();
-  state_.Tell(DutyFact{duty, key, token, now + static_cast<UnixMs>(ms), std::move(value)});
+  state_.Tell(DutyFact{guard.duty(), key, guard.token(), now + static_cast<UnixMs>(ms), std::move(value)});
+  return {};
 }
 
 std::string Node::DescribeLeases() const {
   if (!leases_) return "";
   const Time now = Steady::now();
   std::string line;
-  for (const std::string& duty : options_.duties)
+  for (const auto& [duty, kind] : options_.duties)
     line += fmt::format("{}{} {} holder={} token={} left={:.1f}s", line.empty() ? "" : ", ", duty,
                         Name(leases_->role(now, duty)),
                         leases_->holder(duty).empty() ? "-" : leases_->holder(duty), leases_->token(duty),
--- a/src/fleet/node/node.h
+++ b/src/fleet/node/node.h
@@ -11,11 +11,13 @@
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
-#include "fleet/lease.h"
+#include "fleet/lease/leases.h"
+#include "fleet/lease/vote_file.h"
 #include "fleet/membership/membership.h"
 #include "fleet/node/channels.h"
 #include "fleet/node/facts.h"
@@ -26,15 +28,18 @@
 
 namespace brackenspoke::fleet {
 
-// The duties that are done by one member at a time.
+// The duties that are done by one member at a time: discovery is available, maintenance exclusive.
 inline constexpr char kDiscoveryDuty[] = "discovery", kMaintenanceDuty[] = "maintenance";
 
 // Those of a site's fleet.
-inline std::vector<std::string> SiteDuties() { return {kDiscoveryDuty, kMaintenanceDuty}; }
+inline std::vector<DutySpec> SiteDuties() {
+  return {{kDiscoveryDuty, DutyKind::kAvailable}, {kMaintenanceDuty, DutyKind::kExclusive}};
+}
 
 struct NodeOptions {
-  std::string component = "fleet";                 // that speaks in the log
-  std::vector<std::string> duties = SiteDuties();  // with leases, where the section has a term
+  std::string component = "fleet";              // that speaks in the log
+  std::vector<DutySpec> duties = SiteDuties();  // with leases, where the section has a term
+  std::string votes;  // the file that keeps this voter's votes; empty: they are in memory alone
 };
 
 class Node : private Transport::Host,
@@ -65,15 +70,20 @@
   void Tell(Verdict verdict);
   void Tell(KeySite site);
 
-  // Whether this process is to do the duty: it holds the lease, or there are no leases, or no quorum for one.
+  // Whether this process is to do the duty: it holds the lease, or there are no leases, or, of an available
+  // duty, no quorum for one.
   bool Does(const std::string& duty) const;
+  // The right to act for the duty; nothing unless this process holds its lease.
+  std::optional<LeaseGuard> Guard(const std::string& duty) const;
+  // Whether duties have leases here; without them each process does each duty.
+  bool leased() const { return section_.lease_term.count() > 0; }
   // Another member is known to hold it.
   bool FollowerOf(const std::string& duty) const;
   // Of the lease that this process holds; 0 if it holds none.
   Token HeldToken(const std::string& duty) const;
   std::string HolderOf(const std::string& duty) const;
-  // Makes a fact of a duty known for so long; nothing unless this process holds its lease.
-  void Publish(const std::string& duty, const std::string& key, nlohmann::json value, Span lasts);
+  // Makes a fact of the guard's duty known for so long, under its token. Refuses with kPastDeadline.
+  Result<void> Publish(const LeaseGuard& guard, const std::string& key, nlohmann::json value, Span lasts);
 
   // To a member's address, for who has subscribed to the channel there; a member that has none drops it. It
   // may be lost, as any datagram may. False, and nothing is sent, if the channel's name is empty or over
@@ -107,8 +117,10 @@
 
   void Send(const Udp::endpoint& to, const LeaseMessage& message) override;
   void OnRole(const std::string& duty, Role role, Token token, Span left, std::string_view why) override;
+  void OnFailure(const Failure& failure) override;
 
   void StartLeases();
+  void LoadVotes(LeaseOptions* options);
   void Arm();
 
   const FleetSection section_;
@@ -124,7 +136,9 @@
   bool stopped_ = false;
   bool away_ = false;                     // told to leave while the address was not to be had
   std::optional<Membership> membership_;  // once the address is had
-  std::optional<Leases> leases_;          // where they are wanted
+  std::string holder_;  // the name, the incarnation, and a mark that differs even if the wall clock went back
+  std::unique_ptr<VoteFile> votes_;
+  std::optional<Leases> leases_;  // where they are wanted
   Time armed_{};
   Kept kept_;  // of a life before
 };
--- a/src/fleet/wire/size.cpp
+++ b/src/fleet/wire/size.cpp
@@ -8,7 +8,7 @@
 // of the rest of a message (a map of up to fifteen one-letter keys with their values), and of a lease.
 constexpr std::size_t kUpdateBytes = 1 + 3 * 2 + 1 + 9;
 constexpr std::size_t kMessageBytes = 1 + 15 * 2 + 3 * 1 + 3 * 9 + 3 * 2 + 3 + 2;
-constexpr std::size_t kLeaseBytes = 1 + 1 + 2 * 3 + 3 * 9;
+constexpr std::size_t kLeaseBytes = 2 + 1 + 2 * 1 + 2 * 2 + 7 * 9;
 
 }  // namespace
 
--- a/tests/fleet/payload_test.cpp
+++ b/tests/fleet/payload_test.cpp
@@ -66,7 +66,11 @@
                                        .token = ~0ull,
                                        .holder = std::string(2 * fl::kMostName, 'h'),
                                        .left_ms = ~0ull,
-                                       .asked = ~0ull};
+                                       .asked = ~0ull,
+                                       .request = ~0ull,
+                                       .term_ms = ~0ull,
+                                       .drift_ms = ~0ull,
+                                       .voters = ~0ull};
     const std::size_t room = fl::RoomFor("f", message), size = fl::SizeOf(Longest('u'));
     message.updates.assign(room / size, Longest('u'));
     // The rest goes to shared state, whose entries are packed to the byte.
@@ -99,8 +103,10 @@
     made.bind = made.advertise = address(i);
     return made;
   };
+  fl::NodeOptions other;
+  other.component = "federation";
   fl::Node one(io, section(0, "site"), "n1", 1, facts), two(io, section(1, "site"), "n2", 2, facts),
-      wide(io, section(2, "federation"), "n1", 3, facts, {.component = "federation"});
+      wide(io, section(2, "federation"), "n1", 3, facts, other);
   std::vector<std::string> heard;
   const auto hear = [&](const fl::Update& sender, const nlohmann::json& payload) {
     heard.push_back(sender.name + " " + payload.dump());
