Give failures codes and advice: every warning, error and NAK names its kind

Each subsystem names its kinds in <subsystem>/failures.h (PROXY, CONFIG, OPS, FLEET, STATE; leases, spill and quota had theirs). log::Warn and log::Error take a Failure and nothing else, log::Event is gone, and an OperatorReply is made by Yes(text) or No(failure) alone, so no line or NAK without a code compiles. ParseCall returns a Result. A NAK reads `NAK CODE what: where; advice`; the words of before stand as the `where`. A configuration that is not fit to start with is CONFIG-3, no longer a fault of the process.

--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -50,16 +50,10 @@
   return *spdlog::default_logger_raw();
 }
 
-spdlog::level::level_enum Of(Level level) {
-  switch (level) {
-    case Level::kWarn:
-      return spdlog::level::warn;
-    case Level::kError:
-      return spdlog::level::err;
-    case Level::kInfo:
-      break;
-  }
-  return spdlog::level::info;
+void Write(spdlog::level::level_enum level, std::string_view component, std::string_view event,
+           std::optional<std::uint64_t> request) {
+  const std::string body = Body(format_, component, event, request);
+  Logger().log(level, spdlog::string_view_t(body.data(), body.size()));
 }
 
 }  // namespace
@@ -85,10 +79,16 @@
   return body;
 }
 
-void Event(Level level, std::string_view component, std::string_view event,
-           std::optional<std::uint64_t> request) {
-  const std::string body = Body(format_, component, event, request);
-  Logger().log(Of(level), spdlog::string_view_t(body.data(), body.size()));
+void Info(std::string_view component, std::string_view event, std::optional<std::uint64_t> request) {
+  Write(spdlog::level::info, component, event, request);
+}
+
+void Warn(std::string_view component, const Failure& failure, std::optional<std::uint64_t> request) {
+  Write(spdlog::level::warn, component, failure.Text(), request);
+}
+
+void Error(std::string_view component, const Failure& failure, std::optional<std::uint64_t> request) {
+  Write(spdlog::level::err, component, failure.Text(), request);
 }
 
 }  // namespace brackenspoke::log
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -12,10 +12,11 @@
 #include <string>
 #include <string_view>
 
+#include "base/error/failure.h"
+
 namespace brackenspoke::log {
 
 enum class Format { kText, kJson };
-enum class Level { kInfo, kWarn, kError };
 
 // Replaces the process's logger; until the first call lines are text with no name. `name` is the process's
 // name (may be empty). Not to be called while other threads log.
@@ -23,20 +24,16 @@
 
 // One event: `component` names the part that speaks (discovery, operators, ...), `event` says what happened,
 // in words; `request` is the request's id. Safe from any thread; a line is written whole or not at all.
-void Event(Level level, std::string_view component, std::string_view event,
+void Info(std::string_view component, std::string_view event,
+          std::optional<std::uint64_t> request = std::nullopt);
+
+// A failure, in the words of Failure::Text: what an operator should know of, and what ends something.
+void Warn(std::string_view component, const Failure& failure,
+          std::optional<std::uint64_t> request = std::nullopt);
+void Error(std::string_view component, const Failure& failure,
            std::optional<std::uint64_t> request = std::nullopt);
 
-inline void Info(std::string_view component, std::string_view event) {
-  Event(Level::kInfo, component, event);
-}
-inline void Warn(std::string_view component, std::string_view event) {
-  Event(Level::kWarn, component, event);
-}
-inline void Error(std::string_view component, std::string_view event) {
-  Event(Level::kError, component, event);
-}
-
-// The line that Event writes, without the time: for tests and for what must be written without spdlog.
+// The line that these write, without the time: for tests and for what must be written without spdlog.
 std::string Body(Format format, std::string_view component, std::string_view event,
                  std::optional<std::uint64_t> request);
 
--- a/src/fleet/lease/vote_file.cpp
+++ b/src/fleet/lease/vote_file.cpp
@@ -72,7 +72,7 @@
     ++sequence_;
     return true;
   } catch (const std::system_error& error) {
-    log::Error("fleet", Failure(kVoteNotKept, path_, error.what()).Text());
+    log::Error("fleet", Failure(kVoteNotKept, path_, error.what()));
     return false;
   }
 }
--- a/src/fleet/node/node.cpp
+++ b/src/fleet/node/node.cpp
@@ -9,6 +9,7 @@
 
 #include "base/log.h"
 #include "base/wall_clock.h"
+#include "fleet/failures.h"
 #include "fleet/lease/failures.h"
 #include "fleet/node/describe.h"
 
@@ -116,10 +117,10 @@
     return;
   }
   options->may_vote = &loaded.error().kind() != &kVotersLeapt;
-  log::Error(options_.component, loaded.error().Text());
+  log::Error(options_.component, loaded.error());
 }
 
-void Node::OnFailure(const Failure& failure) { log::Error(options_.component, failure.Text()); }
+void Node::OnFailure(const Failure& failure) { log::Error(options_.component, failure); }
 
 Node::Kept Node::Keep() const {
   Kept kept = kept_;
@@ -152,7 +153,7 @@
   const auto guard = Guard(duty);
   if (!guard) return;
   const auto published = Publish(*guard, "lease/" + duty, {{"holder", holder_}, {"left_ms", left_ms}}, left);
-  if (!published) log::Warn(options_.component, published.error().Text());
+  if (!published) log::Warn(options_.component, published.error());
 }
 
 bool Node::Does(const std::string& duty) const {
@@ -262,13 +263,13 @@
 }
 
 void Node::Stalled(Span late) {
-  log::Warn(options_.component, "stalled for " + std::to_string(std::lround(Seconds(late) * 1000)) + " ms");
+  log::Warn(options_.component,
+            Failure(kStalled, "stalled for " + std::to_string(std::lround(Seconds(late) * 1000)) + " ms"));
   share_.Settle();  // the others may have taken this one's share meanwhile
 }
 
 void Node::Displaced(const Udp::endpoint& by) {
-  log::Error(options_.component,
-             "displaced by=" + Text(by) + ": another process has this name at a newer incarnation");
+  log::Error(options_.component, Failure(kDisplaced, "displaced by=" + Text(by)));
   share_.Unsettle();
   if (leases_) leases_->Release(Steady::now());
 }
--- a/src/fleet/node/state_exchange.cpp
+++ b/src/fleet/node/state_exchange.cpp
@@ -9,6 +9,7 @@
 #include "base/log.h"
 #include "base/wall_clock.h"
 #include "brackenspoke/balancer.h"
+#include "fleet/failures.h"
 #include "fleet/wire/codec.h"
 
 namespace brackenspoke::fleet {
@@ -130,8 +131,9 @@
 
 void StateExchange::Refused(const std::string& about, const std::string& origin, Refusal why) {
   if (MayLogRefusal())
-    log::Warn(component_, "state server=" + (about.empty() ? "-" : about) + " from=" +
-                              (origin.empty() ? "-" : origin) + " refused=" + std::string(Name(why)));
+    log::Warn(component_, Failure(kEntryRefused, fmt::format("state server={} from={} refused={}",
+                                                             about.empty() ? "-" : about,
+                                                             origin.empty() ? "-" : origin, Name(why))));
 }
 
 }  // namespace brackenspoke::fleet
--- a/src/fleet/node/transport.cpp
+++ b/src/fleet/node/transport.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "fleet/failures.h"
 
 namespace brackenspoke::fleet {
 namespace {
@@ -36,7 +37,8 @@
     return Receive();
   }
   if (!std::exchange(waits_, true))
-    log::Warn(options_.component, "cannot have " + Text(options_.bind) + " yet: " + failed.message());
+    log::Warn(options_.component,
+              Failure(kAddressTaken, "cannot have " + Text(options_.bind) + " yet: " + failed.message()));
   Error ignored;
   socket_.close(ignored);
   again_.expires_after(options_.retry);
@@ -78,7 +80,7 @@
   const Time now = Steady::now();
   if (now < report_at_) return;
   report_at_ = now + kBetweenReports;
-  log::Warn(options_.component, "dropped " + DropsLine(counts_));
+  log::Warn(options_.component, Failure(kDatagramsDropped, "dropped " + DropsLine(counts_)));
 }
 
 // A bucket of one second's worth.
--- a/src/proxy/backends.cpp
+++ b/src/proxy/backends.cpp
@@ -16,6 +16,7 @@
 
 #include "base/log.h"
 #include "clock.h"
+#include "proxy/failures.h"
 
 namespace brackenspoke::proxy {
 namespace {
@@ -300,8 +301,9 @@
     if (begun_) ClearTimer();  // whoever reads the answer has a limit of its own
     if (failed) {
       if (begun_)
-        log::Warn("backends", "server " + std::to_string(server_) + " broke off an answer after " +
-                                  std::to_string(got_) + " bytes: " + failed.message());
+        log::Warn("backends",
+                  Failure(kAnswerBroken, "server " + std::to_string(server_) + " broke off an answer after " +
+                                             std::to_string(got_) + " bytes: " + failed.message()));
       return FinishUnanswered(Outcome::kReset);
     }
     got_ += n;
--- a/src/proxy/discovery.cpp
+++ b/src/proxy/discovery.cpp
@@ -13,6 +13,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "proxy/failures.h"
 
 namespace brackenspoke::proxy {
 namespace {
@@ -162,7 +163,7 @@
   std::string why;
   const auto list = ParseMembers(line, &why);
   if (!list) {
-    log::Warn("discovery", "garbled line: " + why);
+    log::Warn("discovery", Failure(kGarbledLine, "garbled line: " + why));
     return false;
   }
   backoff_ = std::chrono::milliseconds(0);
@@ -175,7 +176,7 @@
 }
 
 void Discovery::OnEnd(const std::string& why) {
-  if (!std::exchange(told_, true)) log::Warn("discovery", "away: " + why);
+  if (!std::exchange(told_, true)) log::Warn("discovery", Failure(kDiscoveryAway, "away: " + why));
   stream_.reset();
   if (options_.reconnect == Reconnect::kWhenAsked) return on_failure_();
   backoff_ = std::clamp(backoff_ * 2, kLeastBackoff, kMostBackoff);
--- a/src/proxy/main.cpp
+++ b/src/proxy/main.cpp
@@ -12,11 +12,13 @@
 #include "base/log.h"
 #include "config.h"
 #include "proxy.h"
+#include "proxy/failures.h"
 
 namespace {
 
 namespace proxy = brackenspoke::proxy;
 namespace log = brackenspoke::log;
+using brackenspoke::Failure;
 
 struct Options {
   std::optional<std::string> config;  // in place of ROUTER_CONFIG
@@ -41,7 +43,7 @@
       running.Reconfigure(proxy::ReloadConfig(env, running.config()));
       log::Info("config", "reloaded");
     } catch (const proxy::BadConfig& error) {
-      log::Error("config", std::string("not reloaded: ") + error.what());
+      log::Error("config", Failure(proxy::kNotReloaded, std::string("not reloaded: ") + error.what()));
     }
   });
 }
@@ -53,7 +55,7 @@
       io.run();
       return;
     } catch (const std::exception& error) {
-      log::Error("process", error.what());
+      log::Error("process", Failure(proxy::kHandlerFault, error.what()));
     }
   }
 }
@@ -77,7 +79,8 @@
     boost::asio::signal_set hangups(io, SIGHUP);  // from here on it does not end the process
     proxy::Config config = proxy::LoadConfig(env);
     log::Start(options.format, config.name);
-    for (const std::string& unknown : proxy::UnknownTopKeys(*config.file)) log::Warn("config", unknown);
+    for (const std::string& unknown : proxy::UnknownTopKeys(*config.file))
+      log::Warn("config", Failure(proxy::kUnknownKey, unknown));
     const bool called = config.operators.has_value();
     const std::string clients = Text(config.listen);
     proxy::Proxy running(io, std::move(config));
@@ -89,8 +92,11 @@
       if (!failed) running.Stop([&] { io.stop(); });
     });
     Run(io);
+  } catch (const proxy::BadConfig& error) {
+    log::Error("config", Failure(proxy::kBadConfig, error.what()));
+    return 1;
   } catch (const std::exception& error) {
-    log::Error("process", error.what());
+    log::Error("process", Failure(proxy::kNotStarted, error.what()));
     return 1;
   }
   return 0;
--- a/src/proxy/maintenance.cpp
+++ b/src/proxy/maintenance.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "proxy/failures.h"
 #include "state/snapshot.h"
 
 namespace brackenspoke::proxy {
@@ -65,7 +66,7 @@
     }
     out_ = std::move(changed);
   } catch (const std::system_error& error) {
-    log::Error("maintenance", error.what());
+    log::Error("maintenance", Failure(kMaintenanceFile, path_, error.what()));
     return false;
   }
   overlap_.Seen(version_);
@@ -78,7 +79,7 @@
   try {
     out_ = Read();
   } catch (const std::system_error& error) {
-    log::Error("maintenance", error.what());
+    log::Error("maintenance", Failure(kMaintenanceFile, path_, error.what()));
     return false;
   }
   version_ = version;
--- a/src/proxy/operators.cpp
+++ b/src/proxy/operators.cpp
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "proxy/failures.h"
 
 namespace brackenspoke::proxy {
 namespace {
@@ -47,18 +48,20 @@
   return word;
 }
 
+tl::unexpected<Failure> NoCall(const char* why) { return tl::unexpected(Failure(kNoCall, why)); }
+
 }  // namespace
 
-std::variant<OperatorCall, std::string> ParseCall(std::string_view line) {
+Result<OperatorCall> ParseCall(std::string_view line) {
   const auto is_text = [](unsigned char c) { return (c >= 0x20 && c != 0x7f) || c == '\t'; };
-  if (!std::all_of(line.begin(), line.end(), is_text)) return "not text";
+  if (!std::all_of(line.begin(), line.end(), is_text)) return NoCall("not text");
   const std::string_view name = NextWord(&line), id = NextWord(&line);
-  if (name.empty()) return "empty call";
+  if (name.empty()) return NoCall("empty call");
   const auto form = std::find_if(std::begin(kForms), std::end(kForms),
                                  [name](const Form& known) { return known.name == name; });
-  if (form == std::end(kForms)) return "unknown call";
-  if (form->takes_id && id.empty()) return "ID missing";
-  if (!NextWord(&line).empty() || (!form->takes_id && !id.empty())) return "too many words";
+  if (form == std::end(kForms)) return NoCall("unknown call");
+  if (form->takes_id && id.empty()) return NoCall("ID missing");
+  if (!NextWord(&line).empty() || (!form->takes_id && !id.empty())) return NoCall("too many words");
   return OperatorCall{form->verb, std::string(id)};
 }
 
@@ -97,13 +100,14 @@
   }
 
   void OnRead(const Error& failed, std::size_t n) {
-    if (failed == asio::error::eof && size_ > 0) return Answer({false, "line not ended"});
+    if (failed == asio::error::eof && size_ > 0)
+      return Answer(OperatorReply::No(Failure(kNoCall, "line not ended")));
     if (failed) return Close();
     size_ += n;
     const std::string_view got(line_.data(), size_);
     const std::size_t end = got.find('\n');
     if (end != std::string_view::npos) return Call(got.substr(0, end));
-    if (size_ == line_.size()) return Answer({false, "line too long"});
+    if (size_ == line_.size()) return Answer(OperatorReply::No(Failure(kNoCall, "line too long")));
     Read();
   }
 
@@ -111,21 +115,18 @@
     called_ = true;
     if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
     const auto call = ParseCall(line);
-    if (const auto* why = std::get_if<std::string>(&call)) return Answer({false, *why});
-    owner_->handler_.OnCall(std::get<OperatorCall>(call),
-                            [weak = weak_from_this(), line = std::string(line),
-                             asks = Asks(std::get<OperatorCall>(call).verb)](OperatorReply reply) {
-                              if (!asks) log::Info("operators", line + ": " + Line(reply));
-                              if (const auto self = weak.lock()) self->Answer(reply);
-                            });
+    if (!call) return Answer(OperatorReply::No(call.error()));
+    owner_->handler_.OnCall(*call, [weak = weak_from_this(), line = std::string(line),
+                                    asks = Asks(call->verb)](OperatorReply reply) {
+      if (!asks) log::Info("operators", line + ": " + reply.line());
+      if (const auto self = weak.lock()) self->Answer(reply);
+    });
   }
 
-  static std::string Line(const OperatorReply& reply) { return (reply.yes ? "ACK " : "NAK ") + reply.text; }
-
   void Answer(const OperatorReply& reply) {
     if (closed_) return;
     called_ = true;
-    answer_ = Line(reply) + '\n';
+    answer_ = reply.line() + '\n';
     stream_.expires_after(kPatience);
     asio::async_write(stream_, asio::buffer(answer_),
                       [self = shared_from_this()](const Error& failed, std::size_t) {
--- a/src/proxy/operators.h
+++ b/src/proxy/operators.h
@@ -13,10 +13,11 @@
 #include <memory>
 #include <string>
 #include <string_view>
-#include <variant>
+#include <utility>
 #include <vector>
 
 #include "base/descriptor.h"
+#include "base/error/failure.h"
 
 namespace brackenspoke::proxy {
 
@@ -26,12 +27,21 @@
   std::string id;  // of a server; of kDetach and kAttach alone
 };
 
-// A line without its end; why it is no call, if it is none.
-std::variant<OperatorCall, std::string> ParseCall(std::string_view line);
+// A line without its end. kNoCall, if it is none.
+Result<OperatorCall> ParseCall(std::string_view line);
 
-struct OperatorReply {
-  bool yes = false;
-  std::string text;  // one line
+// A line back: ACK and an answer, or NAK and the failure's text.
+class OperatorReply {
+ public:
+  static OperatorReply Yes(std::string text) { return OperatorReply("ACK " + std::move(text)); }
+  static OperatorReply No(const Failure& failure) { return OperatorReply("NAK " + failure.Text()); }
+
+  const std::string& line() const { return line_; }  // without its end
+
+ private:
+  explicit OperatorReply(std::string line) : line_(std::move(line)) {}
+
+  std::string line_;
 };
 using OnReply = std::function<void(OperatorReply)>;
 
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -7,7 +7,10 @@
 #include <utility>
 
 #include "base/log.h"
+#include "fleet/failures.h"
 #include "fleet/lease/failures.h"
+#include "proxy/failures.h"
+#include "state/failures.h"
 
 namespace brackenspoke::proxy {
 namespace {
@@ -219,19 +222,20 @@
 
 OperatorReply Proxy::Ping() {
   overlap_.SetTaking(Taking());
-  if (clients_->Stopping()) return {false, "stopping"};
-  if (clients_->Draining()) return {false, "draining"};
-  if (!listed_) return {false, "no server known yet"};
-  if (!clients_->Listening()) return {false, "starting"};
-  return {true, "taking clients"};
+  if (clients_->Stopping()) return OperatorReply::No(Failure(kStopping, "stopping"));
+  if (clients_->Draining()) return OperatorReply::No(Failure(kDraining, "draining"));
+  if (!listed_) return OperatorReply::No(Failure(kNotServing, "no server known yet"));
+  if (!clients_->Listening()) return OperatorReply::No(Failure(kNotServing, "starting"));
+  return OperatorReply::Yes("taking clients");
 }
 
 OperatorReply Proxy::AskFleet(const OperatorCall& call) {
-  if (!fleet_) return {false, "no fleet"};
-  if (call.verb == OperatorCall::Verb::kMembers) return {true, fleet_->Describe()};
-  if (call.verb == OperatorCall::Verb::kState) return {true, fleet_->DescribeState()};
+  if (!fleet_) return OperatorReply::No(Failure(kNoFleet, "no fleet"));
+  if (call.verb == OperatorCall::Verb::kMembers) return OperatorReply::Yes(fleet_->Describe());
+  if (call.verb == OperatorCall::Verb::kState) return OperatorReply::Yes(fleet_->DescribeState());
   const std::string leases = fleet_->DescribeLeases();
-  return {!leases.empty(), leases.empty() ? "no leases" : leases};
+  if (leases.empty()) return OperatorReply::No(Failure(kNoFleet, "no leases"));
+  return OperatorReply::Yes(leases);
 }
 
 // From discovery itself, which the duty's holder alone watches.
@@ -267,7 +271,7 @@
       *guard, "server/" + id,
       {{"revision", revision_}, {"members", nlohmann::json::array({ToJson(known_servers_.at(id))})}},
       kServerFactLasts);
-  if (!published) log::Warn("fleet", published.error().Text());
+  if (!published) log::Warn("fleet", published.error());
 }
 
 Result<void> Proxy::PublishMaintenance(const fleet::LeaseGuard& guard) {
@@ -288,7 +292,7 @@
   if (duty == fleet::kMaintenanceDuty) {
     if (const auto guard = fleet_->Guard(duty))
       if (const auto published = PublishMaintenance(*guard); !published)
-        log::Warn("fleet", published.error().Text());
+        log::Warn("fleet", published.error());
     return;
   }
   if (!Does(fleet::kDiscoveryDuty)) return discovery_->Pause();
@@ -309,7 +313,8 @@
 void Proxy::OnFleetServer(const fleet::DutyFact& fact) {
   std::string why;
   const auto list = ParseMembers(fact.value, &why);
-  if (!list || list->complete) return log::Warn("fleet", "no entry of a list from the holder: " + why);
+  if (!list || list->complete)
+    return log::Warn("fleet", Failure(fleet::kBadListEntry, "no entry of a list from the holder: " + why));
   OnList(*list, ListKind::kDelta);
   for (const Member& member : list->members) known_servers_[member.id] = member;
   if (!clients_->Listening()) OpenWhenListed();
@@ -340,7 +345,7 @@
     try {
       Take(*body);
     } catch (const nlohmann::json::exception& error) {
-      log::Warn("state", std::string("snapshot not taken whole: ") + error.what());
+      log::Warn("state", Failure(state::kSnapshotNotWhole, options.path, error.what()));
     }
   } else if (fleet_ && config_->state.peer_wait.count() > 0) {
     recovering_ = true;
@@ -426,15 +431,15 @@
   clients_->Drain();
   overlap_.SetTaking(false);
   if (fleet_) fleet_->Leave();
-  return {true, "draining"};
+  return OperatorReply::Yes("draining");
 }
 
 OperatorReply Proxy::Rejoin() {
-  if (clients_->Stopping()) return {false, "stopping"};
+  if (clients_->Stopping()) return OperatorReply::No(Failure(kStopping, "stopping"));
   if (fleet_) fleet_->Rejoin();
   clients_->Rejoin();
   overlap_.SetTaking(Taking());
-  return {true, "taking clients"};
+  return OperatorReply::Yes("taking clients");
 }
 
 Failure Proxy::NotTheHolder() const {
@@ -447,26 +452,25 @@
   std::optional<fleet::LeaseGuard> guard;
   if (fleet_ && fleet_->leased()) {
     guard = fleet_->Guard(fleet::kMaintenanceDuty);
-    if (!guard) return reply({false, NotTheHolder().Text()});
+    if (!guard) return reply(OperatorReply::No(NotTheHolder()));
   }
   const bool out = call.verb == OperatorCall::Verb::kDetach;
   if (maintenance_.Refresh()) ObeyMaintenance();
-  if (!numbers_.Has(call.id)) return reply({false, "unknown ID"});
+  if (!numbers_.Has(call.id)) return reply(OperatorReply::No(Failure(kUnknownServer, "unknown ID")));
   const std::set<std::string> before = maintenance_.out();
-  if (!maintenance_.Change(call.id, out)) return reply({false, "cannot be kept"});
+  if (!maintenance_.Change(call.id, out))
+    return reply(OperatorReply::No(Failure(kNotKept, "cannot be kept")));
   if (guard) {
     // The disk may have taken longer than the lease; then the change is another holder's to make.
     const auto published = PublishMaintenance(*guard);
     if (!published) {
       maintenance_.Replace(before);
-      return reply({false, published.error().Text()});
+      return reply(OperatorReply::No(published.error()));
     }
   }
   ObeyMaintenance();
-  unseen_.push_back({maintenance_.version(),
-                     Steady::now() + kSeenBy,
-                     {true, out ? "detached" : "attached"},
-                     std::move(reply)});
+  unseen_.push_back({maintenance_.version(), Steady::now() + kSeenBy,
+                     OperatorReply::Yes(out ? "detached" : "attached"), std::move(reply)});
   AnswerSeen();
 }
 
@@ -495,7 +499,8 @@
     }
     const Unseen answered = std::move(unseen_[i]);
     unseen_.erase(unseen_.begin() + static_cast<std::ptrdiff_t>(i));
-    answered.on_reply(seen ? answered.reply : OperatorReply{false, "not seen by the other process"});
+    answered.on_reply(seen ? answered.reply
+                           : OperatorReply::No(Failure(kNotSeen, "not seen by the other process")));
   }
 }
 
--- a/src/spill/failures.h
+++ b/src/spill/failures.h
@@ -4,6 +4,8 @@
 #ifndef BRACKENSPOKE_SPILL_FAILURES_H_
 #define BRACKENSPOKE_SPILL_FAILURES_H_
 
+#include <array>
+
 #include "base/error/failure.h"
 
 namespace brackenspoke::spill {
@@ -31,6 +33,9 @@
     "SPILL-7", "a neighbour's gateway refused or failed too often and is left for a while",
     "look at that gateway and at the link to its site; it is tried again by itself"};
 
+inline constexpr std::array kSpillFailures{&kBadEstimate, &kFutureEstimate, &kFencedEstimate, &kUnknownSite,
+                                           &kBadMark,     &kForeignMark,    &kNeighbourLeft};
+
 }  // namespace brackenspoke::spill
 
 #endif  // BRACKENSPOKE_SPILL_FAILURES_H_
--- a/src/state/keeper.cpp
+++ b/src/state/keeper.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "state/failures.h"
 
 namespace brackenspoke::state {
 namespace {
@@ -29,7 +30,8 @@
   const Expected expected{options_.name, Now(), static_cast<UnixMs>(options_.most_age.count()),
                           static_cast<UnixMs>(options_.most_skew.count())};
   auto recovered = state::Recover(options_.path, expected, [](const std::string& file, Refusal why) {
-    log::Warn("state", fmt::format("snapshot file={} refused={}", file, Name(why)));
+    log::Warn("state",
+              Failure(kSnapshotRefused, fmt::format("snapshot file={} refused={}", file, Name(why))));
   });
   auto* snapshot = std::get_if<Snapshot>(&recovered);
   if (!snapshot) {
@@ -65,7 +67,7 @@
     try {
       WriteWhole(options_.path, PreviousOf(options_.path), Encode(snapshot));
     } catch (const std::system_error& error) {
-      log::Error("state", std::string("snapshot not written: ") + error.what());
+      log::Error("state", Failure(kSnapshotNotWritten, options_.path, error.what()));
     }
     writing_ = false;
   });
