--- /dev/null
+++ b/model/quota/lease_member.h
@@ -0,0 +1,98 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// The treasurers' leases as one gateway of the model takes part in them.
+#ifndef BRACKENSPOKE_MODEL_QUOTA_LEASE_MEMBER_H_
+#define BRACKENSPOKE_MODEL_QUOTA_LEASE_MEMBER_H_
+
+#include <chrono>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "fleet/lease/leases.h"
+#include "model/program.h"
+#include "quota/budget.h"
+
+namespace brackenspoke::model {
+
+// Who holds which duty, as all others hear of it within a fifth of a second.
+class Holders {
+ public:
+  void Tell(std::size_t duty, std::size_t machine, Moment at) {
+    Known& known = duties_[duty];
+    if (known.machine == machine) return;
+    known = {machine, known.machine, at};
+  }
+  std::optional<std::size_t> At(std::size_t duty, Moment now) const {
+    const auto found = duties_.find(duty);
+    if (found == duties_.end()) return std::nullopt;
+    const bool heard = now - found->second.since >= std::chrono::milliseconds(200);
+    return heard ? found->second.machine : found->second.before;
+  }
+
+ private:
+  struct Known {
+    std::optional<std::size_t> machine, before;
+    Moment since{0};
+  };
+  std::map<std::size_t, Known> duties_;
+};
+
+class LeaseMember final : private fleet::Leases::Outlet {
+ public:
+  using Post = std::function<void(const Endpoint&, const fleet::LeaseMessage&)>;
+  LeaseMember(Host& host, std::uint64_t life, std::size_t machine, const std::vector<Endpoint>& voters,
+              std::size_t duties, const quota::Timings& timings, Holders& holders, Post post)
+      : host_(host),
+        machine_(machine),
+        holders_(holders),
+        post_(std::move(post)),
+        leases_(Options(host, life, voters, duties, timings), host.Now(), *this) {}
+
+  static std::string Duty(std::size_t index) {
+    return std::string("treasurer/").append(std::to_string(index));
+  }
+
+  void Receive(const Endpoint& from, const fleet::LeaseMessage& message) {
+    leases_.Receive(host_.Now(), from, message);
+  }
+  void Tick() {
+    if (leases_.Next() <= host_.Now()) leases_.Tick(host_.Now(), host_.Wall());
+  }
+  Time Next() const { return leases_.Next(); }
+  std::optional<fleet::LeaseGuard> Guard(std::size_t duty) const {
+    return leases_.Guard(host_.Now(), Duty(duty));
+  }
+
+ private:
+  static fleet::LeaseOptions Options(Host& host, std::uint64_t life, const std::vector<Endpoint>& voters,
+                                     std::size_t duties, const quota::Timings& timings) {
+    fleet::LeaseOptions options;
+    options.holder = host.Name() + "/" + std::to_string(life);
+    options.address = host.Address();
+    options.voters = voters;
+    options.term = std::chrono::floor<std::chrono::milliseconds>(timings.term);
+    options.drift = std::chrono::ceil<std::chrono::milliseconds>(timings.drift);
+    options.seed = life;
+    for (std::size_t i = 0; i < duties; ++i) options.duties.push_back({Duty(i), fleet::DutyKind::kExclusive});
+    return options;
+  }
+
+  void Send(const Endpoint& to, const fleet::LeaseMessage& message) override { post_(to, message); }
+  void OnRole(const std::string& duty, fleet::Role role, fleet::Token, Span, std::string_view) override {
+    if (role == fleet::Role::kHolder)
+      holders_.Tell(std::stoul(duty.substr(duty.find('/') + 1)), machine_, host_.True());
+  }
+  void OnFailure(const Failure&) override {}
+
+  Host& host_;
+  const std::size_t machine_;
+  Holders& holders_;
+  Post post_;
+  fleet::Leases leases_;
+};
+
+}  // namespace brackenspoke::model
+
+#endif  // BRACKENSPOKE_MODEL_QUOTA_LEASE_MEMBER_H_
--- a/src/fleet/node/state_exchange.cpp
+++ b/src/fleet/node/state_exchange.cpp
@@ -45,8 +45,10 @@
 void StateExchange::Receive(const Message& message) {
   if (!membership_ || message.sender.name == name_) return;
   if (!message.state.is_null() && state_.Receive(UnixMilliseconds(), message.state)) Push();
-  if (message.kind == Message::Kind::kSync && message.digest != state_.Digest(UnixMilliseconds()))
+  if (message.kind == Message::Kind::kSync && message.digest != state_.Digest(UnixMilliseconds())) {
     SendAll(message.sender.address);
+    if (message.reply) AskForState(message.sender.address);
+  }
   // A peer's table that came with the digest of its state, once that is held here, too.
   if (message.kind == Message::Kind::kSync && !message.updates.empty()) joining_digest_ = message.digest;
   if (joined_ || !joining_digest_ || *joining_digest_ != state_.Digest(UnixMilliseconds())) return;
@@ -64,10 +66,18 @@
 // A new verdict goes to a few members at once; each passes it on when it is new there, too.
 void StateExchange::Push() {
   if (!membership_) return;
-  const Message message = FromHere();
+  Message message = FromHere();
+  message.state = state_.Push(UnixMilliseconds(), RoomFor(fleet_, message));
   for (const Udp::endpoint& to : membership_->Sample(kPushFanout)) host_.Send(to, message);
 }
 
+// Who is asked may be the one that lacks something.
+void StateExchange::AskForState(const Udp::endpoint& to) {
+  Message message = FromHere();
+  message.kind = Message::Kind::kSync;
+  host_.Send(to, message);
+}
+
 // All that is held, in as many messages as it takes.
 void StateExchange::SendAll(const Udp::endpoint& to) {
   Message message = FromHere();
--- a/src/quota/budget.cpp
+++ b/src/quota/budget.cpp
@@ -17,10 +17,9 @@
 }
 
 Milli SlowedRate(Milli rate, const Timings& timings) {
-  const Milli drift = std::chrono::ceil<std::chrono::microseconds>(timings.drift).count();
-  const Milli two_terms = std::chrono::floor<std::chrono::microseconds>(2 * timings.term).count();
-  const Milli ppm = (drift * 1'000'000 + two_terms - 1) / two_terms;
-  return std::max<Milli>(0, rate - (rate * ppm + 999'999) / 1'000'000);
+  const Milli term = std::chrono::floor<std::chrono::milliseconds>(timings.term).count();
+  const Milli drift = std::chrono::ceil<std::chrono::milliseconds>(timings.drift).count();
+  return rate * term / (term + drift);
 }
 
 std::size_t TreasurerOf(std::string_view partner, std::size_t treasurers) {
--- a/src/quota/commitments.h
+++ b/src/quota/commitments.h
@@ -24,10 +24,10 @@
   Time until;  // by when it has ended for certain
 };
 
-// All moments are of the treasurer's clock.
+// All moments are of the treasurer's clock; `apart`: by how much another's may differ over a draw's life.
 class Commitments {
  public:
-  Commitments(Span slot, Span drift) : slot_(slot), drift_(drift) {}
+  Commitments(Span slot, Span apart) : slot_(slot), apart_(apart) {}
 
   void Add(GatewayId gateway, const Outstanding& draw);
   // The gateway has taken the draw: those before it of the same life are over, and its floor is away for
@@ -63,7 +63,7 @@
 
   static constexpr Span kEarliest = Time::min().time_since_epoch() / 2;  // before all moments
 
-  Span slot_, drift_;
+  Span slot_, apart_;
   std::map<GatewayId, Held> held_;
 };
 
