--- a/src/fleet/node/node.cpp
+++ b/src/fleet/node/node.cpp
@@ -9,6 +9,7 @@
 
 #include "base/log.h"
 #include "base/wall_clock.h"
+#include "fleet/failures.h"
 #include "fleet/lease/failures.h"
 #include "fleet/node/describe.h"
 
@@ -116,16 +117,16 @@
     return;
   }
   options->may_vote = &loaded.error().kind() != &kVotersLeapt;
-  log::Error(options_.component, loaded.error().Text());
+  log::Error(options_.component, loaded.error());
 }
 
-void Node::OnFailure(const Failure& failure) { log::Error(options_.component, failure.Text()); }
+void Node::OnFailure(const Failure& failure) { log::Error(options_.component, failure); }
 
 Node::Kept Node::Keep() const {
   Kept kept = kept_;
   if (membership_) kept.incarnation = membership_->self().last.incarnation;
-  for (const DutySpec& duty : options_.duties)
-    if (leases_) kept.tokens[duty.name] = leases_->largest(duty.name);
+  for (const auto& [duty, kind] : options_.duties)
+    if (leases_) kept.tokens[duty] = leases_->largest(duty);
   return kept;
 }
 
@@ -152,11 +153,15 @@
   const auto guard = Guard(duty);
   if (!guard) return;
   const auto published = Publish(*guard, "lease/" + duty, {{"holder", holder_}, {"left_ms", left_ms}}, left);
-  if (!published) log::Warn(options_.component, published.error().Text());
+  if (!published) log::Warn(options_.component, published.error());
 }
 
 bool Node::Does(const std::string& duty) const {
-  if (!leases_) return !leased() || duty != kMaintenanceDuty;
+  if (!leases_) {
+    const auto same = [&duty](const DutySpec& spec) { return spec.name == duty; };
+    const auto found = std::find_if(options_.duties.begin(), options_.duties.end(), same);
+    return !leased() || (found != options_.duties.end() && found->kind == DutyKind::kAvailable);
+  }
   const Role role = leases_->role(Steady::now(), duty);
   return role == Role::kHolder || role == Role::kAlone;
 }
@@ -180,8 +185,7 @@
   if (!guard.Holds(Steady::now())) return tl::unexpected(Failure(kPastDeadline, key));
   const UnixMs now = UnixMilliseconds();
   const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(lasts).count();
-  state_.Tell(
-      DutyFact{guard.duty(), key, guard.token(), now + static_cast<UnixMs>(ms), std::move(value)});
+  state_.Tell(DutyFact{guard.duty(), key, guard.token(), now + static_cast<UnixMs>(ms), std::move(value)});
   return {};
 }
 
@@ -259,13 +263,13 @@
 }
 
 void Node::Stalled(Span late) {
-  log::Warn(options_.component, "stalled for " + std::to_string(std::lround(Seconds(late) * 1000)) + " ms");
+  log::Warn(options_.component,
+            Failure(kStalled, "stalled for " + std::to_string(std::lround(Seconds(late) * 1000)) + " ms"));
   share_.Settle();  // the others may have taken this one's share meanwhile
 }
 
 void Node::Displaced(const Udp::endpoint& by) {
-  log::Error(options_.component,
-             "displaced by=" + Text(by) + ": another process has this name at a newer incarnation");
+  log::Error(options_.component, Failure(kDisplaced, "displaced by=" + Text(by)));
   share_.Unsettle();
   if (leases_) leases_->Release(Steady::now());
 }
--- a/src/fleet/node/node.h
+++ b/src/fleet/node/node.h
@@ -39,7 +39,7 @@
 struct NodeOptions {
   std::string component = "fleet";              // that speaks in the log
   std::vector<DutySpec> duties = SiteDuties();  // with leases, where the section has a term
-  std::string votes;                            // file of this voter's votes; empty: in memory alone
+  std::string votes;  // the file that keeps this voter's votes; empty: they are in memory alone
 };
 
 class Node : private Transport::Host,
--- a/src/proxy/discovery.cpp
+++ b/src/proxy/discovery.cpp
@@ -14,6 +14,7 @@
 
 #include "base/log.h"
 #include "object_reader.h"
+#include "proxy/failures.h"
 
 namespace brackenspoke::proxy {
 namespace {
@@ -161,7 +162,7 @@
   std::string why;
   const auto list = ParseMembers(text, &why);
   if (!list) {
-    log::Warn("discovery", "garbled list: " + why);
+    log::Warn("discovery", Failure(kGarbledLine, "garbled list: " + why));
     return false;
   }
   backoff_ = std::chrono::milliseconds(0);
@@ -174,7 +175,7 @@
 }
 
 void Discovery::OnEnd(const std::string& why) {
-  if (!std::exchange(told_, true)) log::Warn("discovery", "away: " + why);
+  if (!std::exchange(told_, true)) log::Warn("discovery", Failure(kDiscoveryAway, "away: " + why));
   stream_.reset();
   if (options_.reconnect == Reconnect::kWhenAsked) return on_failure_();
   backoff_ = std::clamp(backoff_ * 2, kLeastBackoff, kMostBackoff);
