Tell each duty's kind in LEASES, and mend what the merge of leases and split left

The merge left an include of a file that is gone and a loop over names where duties are specs, so src/fleet did not compile. LEASES ends each duty's entry with kind=exclusive or kind=available.

--- a/src/fleet/lease/guard.h
+++ b/src/fleet/lease/guard.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "base/error/failure.h"
 #include "base/time.h"
@@ -18,6 +19,10 @@
 // kExclusive: never done without the lease. kAvailable: each does it itself while no quorum answers.
 enum class DutyKind { kExclusive, kAvailable };
 
+inline std::string_view Name(DutyKind kind) {
+  return kind == DutyKind::kExclusive ? "exclusive" : "available";
+}
+
 struct DutySpec {
   std::string name;
   DutyKind kind = DutyKind::kExclusive;
--- a/src/fleet/node/facts.h
+++ b/src/fleet/node/facts.h
@@ -6,7 +6,7 @@
 
 #include <string>
 
-#include "fleet/lease.h"
+#include "fleet/lease/leases.h"
 #include "fleet/state/state.h"
 
 namespace brackenspoke::fleet {
--- a/src/fleet/node/node.cpp
+++ b/src/fleet/node/node.cpp
@@ -180,8 +180,7 @@
   if (!guard.Holds(Steady::now())) return tl::unexpected(Failure(kPastDeadline, key));
   const UnixMs now = UnixMilliseconds();
   const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(lasts).count();
-  state_.Tell(
-      DutyFact{guard.duty(), key, guard.token(), now + static_cast<UnixMs>(ms), std::move(value)});
+  state_.Tell(DutyFact{guard.duty(), key, guard.token(), now + static_cast<UnixMs>(ms), std::move(value)});
   return {};
 }
 
@@ -189,11 +188,11 @@
   if (!leases_) return "";
   const Time now = Steady::now();
   std::string line;
-  for (const std::string& duty : options_.duties)
-    line += fmt::format("{}{} {} holder={} token={} left={:.1f}s", line.empty() ? "" : ", ", duty,
+  for (const auto& [duty, kind] : options_.duties)
+    line += fmt::format("{}{} {} holder={} token={} left={:.1f}s kind={}", line.empty() ? "" : ", ", duty,
                         Name(leases_->role(now, duty)),
                         leases_->holder(duty).empty() ? "-" : leases_->holder(duty), leases_->token(duty),
-                        Seconds(leases_->left(now, duty)));
+                        Seconds(leases_->left(now, duty)), Name(kind));
   return line;
 }
 
