--- a/src/proxy/backends.cpp
+++ b/src/proxy/backends.cpp
@@ -35,9 +35,10 @@
 Steady::duration ToSteady(Duration d) { return std::chrono::ceil<Steady::duration>(d); }
 
 // 503 and 504 alone may come from anything on the way; only the backend's own word proves that it never ran.
-Outcome OutcomeOf(const http::response_header<>& response) {
+Outcome OutcomeOf(const http::response_header<>& response, bool of_proxy) {
   const unsigned status = response.result_int();
   if (status == 200) return Outcome::kOk;
+  if (of_proxy && (status == 503 || status == 429)) return Outcome::kFull;
   if ((status == 503 || status == 504) && response["Srv-Declined"] == "1") return Outcome::kFull;
   return Outcome::kError;
 }
@@ -65,6 +66,7 @@
   void Open(const Tcp::endpoint& address, Duration connect_timeout) {
     Error error;
     socket_.open(address.protocol(), error);
+    if (const auto& local = owner_->limits_.local; local && !error) socket_.bind(*local, error);
     if (!error) socket_.set_option(Tcp::no_delay(true), error);
     if (error) return FinishSoon(Outcome::kMoot);  // out of descriptors
     SetTimer(std::min(deadline_, Steady::now() + ToSteady(connect_timeout)));
@@ -273,7 +275,9 @@
                               if (use != self->use_ || !self->Out()) return;
                               if (failed) return self->FinishUnanswered(Outcome::kReset);
                               if (Interim(self->parser_->get())) return self->Read();
-                              self->outcome_ = OutcomeOf(self->parser_->get());
+                              const Limits& limits = self->owner_->limits_;
+                              self->outcome_ = OutcomeOf(self->parser_->get(), limits.proxies);
+                              if (limits.on_head) limits.on_head(self->parser_->get());
                               self->hold_ = Buffers::Hold(self->owner_->buffers_);
                               self->hold_until_ = Steady::now() + kHoldBack;
                               self->ReadPiece();
--- a/src/proxy/backends.h
+++ b/src/proxy/backends.h
@@ -57,6 +57,10 @@
     Duration connect_timeout{250};
     Duration conn_idle{15000};
     std::function<std::size_t()> connections = [] { return std::size_t{300}; };  // over all backends, now
+    std::optional<boost::asio::ip::tcp::endpoint> local{};  // where connections come from, if that matters
+    bool proxies = false;  // what answers is a proxy: its 429 and 503 say that nothing has run
+    std::function<void(const boost::beast::http::response_header<>&)>
+        on_head{};  // of each answer, before its end
   };
 
   Backends(boost::asio::io_context& io, Limits limits, Buffers& buffers);
--- a/src/proxy/clients.h
+++ b/src/proxy/clients.h
@@ -29,6 +29,8 @@
   virtual void Begun(AnswerHead head) = 0;
   virtual void Refused(Duration retry_after) = 0;
   virtual void Failed() = 0;
+  // It is refused, as its owner is over its budget.
+  virtual void OverBudget(Duration retry_after) = 0;
 };
 
 // What is done with requests. No call may throw.
@@ -41,6 +43,10 @@
   virtual void OnClientGone(RequestId request) = 0;
   virtual bool Ready() const = 0;  // clients may come
   virtual std::shared_ptr<const Config> InForce() const = 0;
+  // Whether another site's gateway has spilled the request here; takes the mark off that says so.
+  virtual bool TakeMark(HttpRequest* message, const boost::asio::ip::address& peer) = 0;
+  // What answers to such requests carry of this site; empty: nothing.
+  virtual std::string EstimateText() const = 0;
 };
 
 class Clients {
--- a/src/proxy/config.cpp
+++ b/src/proxy/config.cpp
@@ -110,8 +110,8 @@
 
 // Keys that the documents let a file leave out.
 bool MayBeAbsent(const std::string& key) {
-  static const std::set<std::string> kOptional{"known",    "aimStretch", "passesDeadline",
-                                               "warmKeys", "fleet",      "sites"};
+  static const std::set<std::string> kOptional{"known", "aimStretch", "passesDeadline", "warmKeys",
+                                               "fleet", "sites",      "quota",          "spill"};
   return kOptional.contains(key);
 }
 
@@ -212,11 +212,27 @@
   if (config.fleet.on && !FitForMember(config.name))
     faults.push_back("name is not 1 to 64 bytes without blanks, as a member of a fleet needs");
   config.sites = fleet::ReadSites(root, &faults);
+  config.quota = quota::ReadQuota(root, &faults);
+  config.spill = spill::ReadSpill(root, &faults);
   if (!faults.empty()) throw BadConfig(std::move(faults));
   config.file = WithoutKnown(root);
   return config;
 }
 
+quota::Layout LayoutOf(const fleet::SitesSection& sites) {
+  quota::Layout layout;
+  for (const auto& [site, gateways] : sites.gateways)
+    for (const auto& [name, at] : gateways) layout[site].insert(name);
+  return layout;
+}
+
+spill::Directory DirectoryOf(const fleet::SitesSection& sites) {
+  spill::Directory directory;
+  for (const auto& [site, gateways] : sites.gateways)
+    for (const auto& [name, at] : gateways) directory[site][name] = {at.pool, at.clients};
+  return directory;
+}
+
 // What one section alone cannot tell.
 void CheckAcross(const Config& config) {
   std::vector<std::string> faults;
@@ -224,9 +240,23 @@
   if (config.sites.on && !config.fleet.on) faults.push_back("fleet is missing, which sites needs");
   if (config.sites.on && config.fleet.bind == config.sites.bind)
     faults.push_back("sites.bind is fleet.bind, too");
+  quota::CheckQuota(config.quota, LayoutOf(config.sites), config.tenants, config.sites.lease_term,
+                    config.sites.lease_drift, &faults);
+  spill::CheckSpill(config.spill, DirectoryOf(config.sites), config.sites.site, config.fleet.lease_term,
+                    &faults);
   if (!faults.empty()) throw BadConfig(std::move(faults));
 }
 
+// Gateways agree on budgets by their revision.
+void CheckRevision(const json& root, const Config& fresh, const Config& current) {
+  if (!fresh.quota.on) return;
+  if (fresh.quota.budgets->revision < current.quota.budgets->revision)
+    throw BadConfig("quota.revision is smaller than the one in force");
+  if (fresh.quota.budgets->revision == current.quota.budgets->revision &&
+      root.at("quota").at("partners") != current.file->at("quota").at("partners"))
+    throw BadConfig("quota.partners is another, and quota.revision the same");
+}
+
 std::string ReadFile(const Environment& env) {
   const char* path = env("ROUTER_CONFIG");
   if (!path || !*path) throw BadConfig("ROUTER_CONFIG is not set");
@@ -276,6 +306,10 @@
     if (fresh.zones != current.zones || fresh.kinds != current.kinds ||
         fresh.settings.must_ask_for_list != current.settings.must_ask_for_list)
       throw BadConfig("zones, kinds and registryMode need a new start");
+    if (fresh.quota.on != current.quota.on || fresh.quota.treasurers != current.quota.treasurers ||
+        fresh.quota.draw != current.quota.draw || fresh.quota.ask != current.quota.ask)
+      throw BadConfig("all of quota but revision and partners needs a new start");
+    CheckRevision(root, fresh, current);
     Config next = current;
     next.known = {};  // long known
     next.discovery = fresh.discovery;
@@ -284,7 +318,9 @@
     next.tenants = fresh.tenants;
     next.connect_timeout = fresh.connect_timeout;
     next.conn_idle = fresh.conn_idle;
+    next.quota = fresh.quota;
     next.file = fresh.file;
+    CheckAcross(next);
     return next;
   });
 }
@@ -294,8 +330,9 @@
 }
 
 std::vector<std::string> UnknownTopKeys(const json& root) {
-  static const std::set<std::string> kKnown{"name",     "listen", "discovery", "seed",  "limits", "known",
-                                            "settings", "ops",    "fleet",     "state", "sites"};
+  static const std::set<std::string> kKnown{"name",  "listen",   "discovery", "seed",  "limits",
+                                            "known", "settings", "ops",       "fleet", "state",
+                                            "sites", "quota",    "spill"};
   std::vector<std::string> unknown;
   for (const auto& [key, value] : root.items())
     if (!kKnown.contains(key)) unknown.push_back(key + " is no known key");
@@ -312,6 +349,8 @@
       fleet::ReadFleet(root, &faults);
       state::ReadState(root, &faults);
       fleet::ReadSites(root, &faults);
+      quota::ReadQuota(root, &faults);
+      spill::ReadSpill(root, &faults);
       if (!faults.empty()) return faults;
     }
     ParseConfig(text, env);
--- a/src/proxy/config.h
+++ b/src/proxy/config.h
@@ -19,6 +19,8 @@
 #include "fleet/federation/section.h"
 #include "fleet/section.h"
 #include "members.h"
+#include "quota/section.h"
+#include "spill/section.h"
 #include "state/section.h"
 
 namespace brackenspoke::proxy {
@@ -52,6 +54,8 @@
   fleet::FleetSection fleet;
   state::StateSection state;
   fleet::SitesSection sites;
+  quota::QuotaSection quota;
+  spill::SpillSection spill;
   std::shared_ptr<const nlohmann::json> file;  // without what is known
 };
 
--- /dev/null
+++ b/src/proxy/federation/quota_service.cpp
@@ -0,0 +1,286 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "federation/quota_service.h"
+
+#include <spdlog/fmt/fmt.h>
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <utility>
+
+#include "base/log.h"
+
+namespace brackenspoke::proxy {
+namespace {
+
+using quota::kOne;
+using quota::Milli;
+using Source = quota::PartnerAccount::Source;
+
+constexpr const char* kChannel = "quota";
+constexpr const char *kTreasurerKey = "t", *kRequestKey = "q", *kAnswerKey = "a";
+constexpr std::chrono::milliseconds kLook{50};  // for the pool's address and for leases that come
+
+double Units(Milli amount) { return static_cast<double>(amount) / static_cast<double>(kOne); }
+
+const char* Name(Source source) {
+  switch (source) {
+    case Source::kNone:
+      return "none";
+    case Source::kFloor:
+      return "floor";
+    case Source::kDraw:
+      return "draw";
+  }
+  return "";
+}
+
+quota::Layout LayoutOf(const fleet::SitesSection& sites) {
+  quota::Layout layout;
+  for (const auto& [site, gateways] : sites.gateways)
+    for (const auto& [name, at] : gateways) layout[site].insert(name);
+  return layout;
+}
+
+quota::Timings TimingsOf(const fleet::SitesSection& sites, const quota::QuotaSection& section) {
+  return {section.draw, section.ask, sites.lease_term, sites.lease_drift};
+}
+
+quota::AccountOptions AccountOptionsOf(const fleet::SitesSection& sites, const quota::QuotaSection& section,
+                                       std::uint64_t life) {
+  return {sites.site, sites.gateways.at(sites.site).size(), life, section.treasurers,
+          TimingsOf(sites, section)};
+}
+
+}  // namespace
+
+std::string QuotaService::DutyOf(std::size_t treasurer) { return "treasurer/" + std::to_string(treasurer); }
+
+std::vector<std::string> QuotaService::Duties(const quota::QuotaSection& section) {
+  std::vector<std::string> duties;
+  for (std::size_t i = 0; section.on && i < section.treasurers; ++i) duties.push_back(DutyOf(i));
+  return duties;
+}
+
+QuotaService::QuotaService(boost::asio::io_context& io, const fleet::SitesSection& sites,
+                           const quota::QuotaSection& section, std::uint64_t life, Pool& pool)
+    : io_(io),
+      pool_(pool),
+      options_(AccountOptionsOf(sites, section, life)),
+      budgets_(section.budgets),
+      timer_(io) {
+  for (std::size_t i = 0; i < section.treasurers; ++i)
+    treasurers_.emplace_back(
+        quota::TreasurerOptions{i, section.treasurers, LayoutOf(sites), TimingsOf(sites, section)}, budgets_);
+  pool_.Subscribe(kChannel, [this](const std::string& gateway, const nlohmann::json& payload) {
+    Receive(gateway, payload);
+  });
+  Begin();
+  Arm();
+}
+
+void QuotaService::Begin() {
+  if (account_ || stopped_ || !pool_.HasAddress()) return;
+  account_.emplace(options_, budgets_, Steady::now());
+}
+
+quota::Charged QuotaService::Charge(std::string_view partner, double work_ms) {
+  const auto budget = budgets_->partners.find(partner);
+  if (budget == budgets_->partners.end()) return {};
+  Begin();
+  quota::Charged charged;
+  charged.verdict = quota::Verdict::kOver;
+  charged.over = budget->second.over;
+  charged.retry_after = options_.timings.draw;
+  if (account_)
+    charged =
+        account_->Charge(Steady::now(), partner, budget->second.unit == quota::Unit::kRequests ? 1 : work_ms);
+  Arm();
+  return charged;
+}
+
+void QuotaService::Credit(const quota::Ticket& ticket) {
+  if (account_) account_->Credit(Steady::now(), ticket);
+}
+
+void QuotaService::Renew(const quota::QuotaSection& section) {
+  budgets_ = section.budgets;
+  for (quota::Treasurer& treasurer : treasurers_) treasurer.Renew(budgets_);
+  if (account_) {
+    quota::AccountActions actions;
+    account_->Renew(Steady::now(), budgets_, &actions);
+    Do(actions);
+  }
+  log::Info("quota",
+            fmt::format("budgets revision={} partners={}", budgets_->revision, budgets_->partners.size()));
+  Arm();
+}
+
+void QuotaService::Resume() {
+  paused_ = false;
+  Arm();
+}
+
+void QuotaService::Stop() {
+  if (std::exchange(stopped_, true)) return;
+  timer_.cancel();
+  if (account_) account_->Retire(Steady::now());
+}
+
+Steady::time_point QuotaService::OutUntil() const {
+  auto latest = Steady::now();
+  const auto now = latest;
+  for (const quota::Treasurer& treasurer : treasurers_) latest = std::max(latest, treasurer.OutUntil(now));
+  return latest;
+}
+
+nlohmann::json QuotaService::Ledger() const {
+  auto ledgers = nlohmann::json::array();
+  const auto now = Steady::now();
+  for (const quota::Treasurer& treasurer : treasurers_) ledgers.push_back(treasurer.Ledger(now));
+  return ledgers;
+}
+
+void QuotaService::Load(const nlohmann::json& ledger) {
+  for (std::size_t i = 0; ledger.is_array() && i < std::min(ledger.size(), treasurers_.size()); ++i)
+    if (const auto loaded = treasurers_[i].Load(Steady::now(), ledger[i]); !loaded)
+      log::Warn("quota", loaded.error().Text());
+}
+
+// ---- messages -----------------------------------------------------------------------------------------
+// To this process itself not from within what it does now.
+void QuotaService::Send(const std::string& gateway, nlohmann::json payload) {
+  if (gateway != pool_.self()) return pool_.Send(gateway, kChannel, std::move(payload));
+  boost::asio::post(io_, [this, alive = std::weak_ptr(alive_), payload = std::move(payload)] {
+    if (!alive.expired()) Receive(pool_.self(), payload);
+  });
+}
+
+void QuotaService::Receive(const std::string& gateway, const nlohmann::json& payload) {
+  if (stopped_ || !payload.is_object()) return;
+  const auto treasurer = payload.find(kTreasurerKey);
+  if (treasurer == payload.end() || !treasurer->is_number_unsigned()) return;
+  const auto index = treasurer->get<std::size_t>();
+  if (index >= treasurers_.size()) return;
+  if (const auto request = payload.find(kRequestKey); request != payload.end())
+    TakeRequest(index, gateway, *request);
+  if (const auto answer = payload.find(kAnswerKey); answer != payload.end())
+    TakeAnswer(index, gateway, *answer);
+  Arm();
+}
+
+// The right to hand out draws.
+std::optional<fleet::LeaseGuard> QuotaService::Guard(std::size_t treasurer) const {
+  return paused_ || stopped_ ? std::nullopt : pool_.Guard(DutyOf(treasurer));
+}
+
+void QuotaService::TakeRequest(std::size_t treasurer, const std::string& gateway,
+                               const nlohmann::json& json) {
+  const auto guard = Guard(treasurer);
+  if (!guard) return;  // another's by now: the gateway asks again
+  const auto request = quota::RequestFromJson(json, gateway);
+  if (!request) return log::Warn("quota", request.error().Text());
+  quota::TreasurerActions actions;
+  treasurers_[treasurer].Receive(Steady::now(), *guard, gateway, *request, &actions);
+  Do(treasurer, actions);
+}
+
+void QuotaService::TakeAnswer(std::size_t treasurer, const std::string& gateway, const nlohmann::json& json) {
+  const auto answer = quota::AnswerFromJson(json, gateway);
+  if (!answer) return log::Warn("quota", answer.error().Text());
+  Begin();
+  if (!account_) return;
+  quota::AccountActions actions;
+  account_->Receive(Steady::now(), treasurer, *answer, &actions);
+  Do(actions);
+}
+
+// ---- time ---------------------------------------------------------------------------------------------
+Steady::time_point QuotaService::Next() const {
+  auto next = account_ ? account_->Next() : Steady::now() + kLook;
+  for (std::size_t i = 0; i < treasurers_.size(); ++i)
+    if (Guard(i)) next = std::min(next, treasurers_[i].Next());
+  return next;
+}
+
+void QuotaService::Arm() {
+  const auto next = Next();
+  if (stopped_ || next >= armed_) return;
+  armed_ = next;
+  timer_.expires_at(next);
+  timer_.async_wait([this](const boost::system::error_code& cancelled) {
+    if (!cancelled) Tick();
+  });
+}
+
+void QuotaService::Tick() {
+  armed_ = Steady::time_point::max();
+  if (stopped_) return;
+  Begin();
+  if (account_) {
+    quota::AccountActions actions;
+    account_->Tick(Steady::now(), &actions);
+    Do(actions);
+  }
+  for (std::size_t i = 0; i < treasurers_.size(); ++i) {
+    const auto guard = Guard(i);
+    if (!guard) continue;
+    quota::TreasurerActions actions;
+    treasurers_[i].Tick(Steady::now(), *guard, &actions);
+    Do(i, actions);
+  }
+  Arm();
+}
+
+// ---- actions ------------------------------------------------------------------------------------------
+void QuotaService::Do(const quota::AccountActions& actions) {
+  for (const auto& action : actions) std::visit([this](const auto& a) { Do(a); }, action);
+}
+
+void QuotaService::Do(const quota::SendRequest& action) {
+  Send(pool_.HolderOf(DutyOf(action.treasurer)),
+       {{kTreasurerKey, action.treasurer}, {kRequestKey, quota::ToJson(action.request)}});
+}
+
+void QuotaService::Do(const quota::SourceChanged& action) {
+  log::Info("quota", fmt::format("partner={} source={} per_s={:.3f} depth={:.3f} draw={}/{}", action.partner,
+                                 Name(action.source), Units(action.part.rate), Units(action.part.depth),
+                                 action.draw.token, action.draw.number));
+}
+
+void QuotaService::Do(const quota::Complain& action) { log::Warn("quota", action.failure.Text()); }
+
+void QuotaService::Do(std::size_t treasurer, const quota::TreasurerActions& actions) {
+  for (const auto& action : actions) {
+    if (const auto* begun = std::get_if<quota::TermBegan>(&action))
+      log::Info("quota", fmt::format("duty={} token={} hands out draws", DutyOf(treasurer), begun->token));
+    else if (const auto* complaint = std::get_if<quota::TreasurerComplains>(&action))
+      log::Warn("quota", complaint->failure.Text());
+    else if (const auto* send = std::get_if<quota::SendAnswer>(&action))
+      Send(send->gateway, {{kTreasurerKey, treasurer}, {kAnswerKey, quota::ToJson(send->answer)}});
+  }
+}
+
+// ---- operators ----------------------------------------------------------------------------------------
+std::string QuotaService::Describe() {
+  const auto now = Steady::now();
+  std::string line =
+      fmt::format("revision={}{}", budgets_->revision, account_ && account_->agreed() ? "" : " not agreed");
+  if (account_)
+    for (const auto& each : account_->Lines(now)) {
+      const auto& budget = budgets_->partners.at(each.partner);
+      const auto floor = quota::FloorOf(budget, options_.site, options_.gateways);
+      line +=
+          fmt::format(", {} per_s={:.3f} burst={:.3f} floor={:.3f} source={} in_force={:.3f} demand={:.3f}",
+                      each.partner, Units(budget.rate), Units(budget.burst), Units(floor.rate),
+                      Name(each.source), Units(each.in_force.rate), Units(each.demand));
+    }
+  for (std::size_t i = 0; i < treasurers_.size(); ++i) {
+    if (!Guard(i)) continue;
+    for (const auto& each : treasurers_[i].Lines(now))
+      line += fmt::format(", {} {} per_s={:.3f} committed={:.3f} asking={}", DutyOf(i), each.partner,
+                          Units(each.rate), Units(each.committed), each.demand.size());
+  }
+  return line;
+}
+
+}  // namespace brackenspoke::proxy
--- /dev/null
+++ b/src/proxy/federation/quota_service.h
@@ -0,0 +1,91 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Quotas on this gateway's sockets and clock: the account that each request is charged to, and the treasurers
+// whose leases this process may hold. Decides nothing: both are in src/quota.
+#ifndef BRACKENSPOKE_PROXY_FEDERATION_QUOTA_SERVICE_H_
+#define BRACKENSPOKE_PROXY_FEDERATION_QUOTA_SERVICE_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "clock.h"
+#include "federation/pool.h"
+#include "fleet/federation/section.h"
+#include "quota/account.h"
+#include "quota/section.h"
+#include "quota/treasurer.h"
+
+namespace brackenspoke::proxy {
+
+class QuotaService {
+ public:
+  // The duty of the treasurer of that number.
+  static std::string DutyOf(std::size_t treasurer);
+  static std::vector<std::string> Duties(const quota::QuotaSection& section);
+
+  // `life` differs from that of any process of this gateway before. `pool` outlives this.
+  QuotaService(boost::asio::io_context& io, const fleet::SitesSection& sites,
+               const quota::QuotaSection& section, std::uint64_t life, Pool& pool);
+  QuotaService(const QuotaService&) = delete;
+  QuotaService& operator=(const QuotaService&) = delete;
+
+  // A request of `partner` that comes in here, of so much hinted work in ms.
+  quota::Charged Charge(std::string_view partner, double work_ms);
+  // It is proven not to have run.
+  void Credit(const quota::Ticket& ticket);
+
+  void Renew(const quota::QuotaSection& section);
+  // Hands out no draws, until Resume.
+  void Pause() { paused_ = true; }
+  void Resume();
+  // Admits nothing as inside from now on, and hands out no draws.
+  void Stop();
+  // No draw that this process has handed out is in force from then on; its leases must not go before.
+  Steady::time_point OutUntil() const;
+
+  // Of the treasurers, for the process's next life.
+  nlohmann::json Ledger() const;
+  void Load(const nlohmann::json& ledger);
+
+  // One line: each partner's budget, what is in force here and why, and for this process's treasuries what is
+  // handed out.
+  std::string Describe();
+
+ private:
+  void Begin();
+  void Send(const std::string& gateway, nlohmann::json payload);
+  void Receive(const std::string& gateway, const nlohmann::json& payload);
+  std::optional<fleet::LeaseGuard> Guard(std::size_t treasurer) const;
+  void TakeRequest(std::size_t treasurer, const std::string& gateway, const nlohmann::json& json);
+  void TakeAnswer(std::size_t treasurer, const std::string& gateway, const nlohmann::json& json);
+  void Tick();
+  void Arm();
+  Steady::time_point Next() const;
+
+  void Do(const quota::AccountActions& actions);
+  void Do(const quota::SendRequest& action);
+  void Do(const quota::SourceChanged& action);
+  void Do(const quota::Complain& action);
+  void Do(std::size_t treasurer, const quota::TreasurerActions& actions);
+
+  boost::asio::io_context& io_;
+  Pool& pool_;
+  const quota::AccountOptions options_;
+  std::shared_ptr<const quota::Budgets> budgets_;
+  std::optional<quota::Account> account_;  // once this process has the pool address
+  std::vector<quota::Treasurer> treasurers_;
+  boost::asio::steady_timer timer_;
+  Steady::time_point armed_ = Steady::time_point::max();
+  bool paused_ = false, stopped_ = false;
+  const std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // for what is posted
+};
+
+}  // namespace brackenspoke::proxy
+
+#endif  // BRACKENSPOKE_PROXY_FEDERATION_QUOTA_SERVICE_H_
--- /dev/null
+++ b/src/proxy/federation/spill_service.cpp
@@ -0,0 +1,257 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "federation/spill_service.h"
+
+#include <spdlog/fmt/fmt.h>
+
+#include <cmath>
+#include <utility>
+
+#include "base/log.h"
+#include "base/wall_clock.h"
+#include "spill/incoming.h"
+
+namespace brackenspoke::proxy {
+namespace {
+
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+
+constexpr const char* kChannel = "spare";
+constexpr std::chrono::seconds kBetweenComplaints{1};
+constexpr double kPerSecond = 1000;  // ms in a second
+
+spill::Directory DirectoryOf(const fleet::SitesSection& sites) {
+  spill::Directory directory;
+  for (const auto& [site, gateways] : sites.gateways)
+    for (const auto& [name, at] : gateways) directory[site][name] = {at.pool, at.clients};
+  return directory;
+}
+
+// Its own connections come from where it serves clients, by which others know it.
+Tcp::endpoint OwnAddress(const fleet::SitesSection& sites, const std::string& self) {
+  return {sites.gateways.at(sites.site).at(self).clients.address(), 0};
+}
+
+spill::SpillOutcome OutcomeOf(Outcome outcome) {
+  switch (outcome) {
+    case Outcome::kOk:
+      return spill::SpillOutcome::kOk;
+    case Outcome::kFull:
+      return spill::SpillOutcome::kRefused;
+    case Outcome::kConnectFailed:
+    case Outcome::kMoot:
+      return spill::SpillOutcome::kNotRun;
+    default:
+      return spill::SpillOutcome::kMayHaveRun;
+  }
+}
+
+double FigureIn(const nlohmann::json& payload, const char* key) {
+  const auto found = payload.find(key);
+  const double figure = found != payload.end() && found->is_number() ? found->get<double>() : 0;
+  return std::isfinite(figure) && figure > 0 ? figure : 0;
+}
+
+spill::MemberSpare MemberSpareOf(const brackenspoke::Spare& spare) {
+  return {spare.work_per_ms * kPerSecond, spare.least_work_per_ms * kPerSecond,
+          std::chrono::ceil<std::chrono::milliseconds>(spare.wait)};
+}
+
+}  // namespace
+
+SpillService::SpillService(asio::io_context& io, const fleet::SitesSection& sites,
+                           const spill::SpillSection& section, const std::string& self, std::uint64_t seed,
+                           std::function<std::size_t()> most_connections, Buffers& buffers, Pool& pool,
+                           fleet::Node& site, SpillHost& host)
+    : sites_(sites),
+      options_(section.options),
+      self_(self),
+      duty_(DutyOf(sites.site)),
+      pool_(pool),
+      site_(site),
+      host_(host),
+      spill_(options_, DirectoryOf(sites), sites.site, seed, Steady::now()),
+      neighbours_(io,
+                  Backends::Limits{.connections = std::move(most_connections),
+                                   .local = OwnAddress(sites, self),
+                                   .proxies = true,
+                                   .on_head = [this](const auto& head) { OnHead(head); }},
+                  buffers),
+      timer_(io) {
+  for (const auto& [other, gateways] : sites_.gateways) {
+    if (other == sites_.site) continue;
+    for (const auto& [name, at] : gateways) {
+      const auto number = static_cast<ServerId>(numbers_.size() + 1);
+      numbers_[{other, name}] = number;
+      neighbours_.Set(number, at.clients, 0);
+    }
+  }
+  site_.Subscribe(kChannel, [this](const fleet::Update& sender, const nlohmann::json& payload) {
+    HearSpare(sender.name, payload);
+  });
+  Look();
+}
+
+// ---- requests on their way ----------------------------------------------------------------------------
+void SpillService::Offer(const spill::Refused& refused, std::shared_ptr<const HttpRequest> message) {
+  open_[refused.request].message = std::move(message);
+  Feed(refused);
+}
+
+void SpillService::Gone(RequestId request) {
+  if (open_.erase(request) > 0) Feed(spill::ClientGone{request});
+}
+
+void SpillService::Feed(const spill::Event& event) {
+  std::vector<spill::Action> actions;
+  spill_.Handle(Steady::now(), event, &actions);
+  for (const auto& action : actions) std::visit([this](const auto& a) { Do(a); }, action);
+}
+
+void SpillService::Do(const spill::SendTo& action) {
+  const auto open = open_.find(action.request);
+  if (open == open_.end()) return;
+  const auto timeout = std::chrono::duration_cast<Duration>(action.timeout);
+  Outgoing out;
+  out.head = open->second.message->base();
+  out.head.set("Req-Deadline-Ms", std::to_string(static_cast<long long>(std::ceil(timeout.count()))));
+  out.head.set(std::string(spill::kMarkHeader), spill::MarkOf({sites_.site, self_}));
+  out.whole = {open->second.message, &open->second.message->body()};
+  AttemptEvents events;
+  const auto sent = Steady::now();
+  events.begun = [this, request = action.request, neighbour = action.neighbour, sent](AnswerHead head) {
+    if (open_.erase(request) == 0) return head.body->Abandon();
+    host_.OnSpillBegun(request, std::move(head));
+    Feed(spill::SpillAnswered{request, neighbour, spill::SpillOutcome::kOk, Steady::now() - sent,
+                              std::nullopt});
+  };
+  events.done = [this, request = action.request, neighbour = action.neighbour, sent](AttemptResult result) {
+    OnDone(request, neighbour, sent, std::move(result));
+  };
+  neighbours_.Send(numbers_.at(action.neighbour), std::move(out), timeout, std::move(events));
+}
+
+void SpillService::OnDone(RequestId request, const spill::Neighbour& neighbour, Steady::time_point sent,
+                          AttemptResult result) {
+  const spill::SpillOutcome outcome = OutcomeOf(result.outcome);
+  if (outcome == spill::SpillOutcome::kOk && open_.erase(request) > 0)
+    host_.OnSpillServed(request, std::move(result.response), std::move(result.hold));
+  Feed(spill::SpillAnswered{request, neighbour, outcome, Steady::now() - sent, std::nullopt});
+}
+
+void SpillService::Do(const spill::GiveUp& action) {
+  if (open_.erase(action.request) == 0) return;
+  if (action.may_have_run) return host_.OnSpillFailed(action.request);
+  host_.OnSpillRefused(action.request, std::chrono::duration_cast<Duration>(action.retry_after));
+}
+
+void SpillService::Do(const spill::Log& action) {
+  log::Event(action.kind ? log::Level::kWarn : log::Level::kInfo, "spill", action.text);
+}
+
+// ---- requests that come from others -------------------------------------------------------------------
+bool SpillService::TakeMark(HttpRequest* message, const asio::ip::address& peer) {
+  const auto header = std::string(spill::kMarkHeader);
+  const auto mark = message->find(header);
+  if (mark == message->end()) return false;
+  const bool single = message->count(header) == 1;
+  const auto judged =
+      spill::JudgeMark(DirectoryOf(sites_), sites_.site, {mark->value().data(), mark->value().size()}, peer);
+  message->erase(header);
+  if (judged) return single;
+  if (Steady::now() >= next_complaint_) {
+    next_complaint_ = Steady::now() + kBetweenComplaints;
+    log::Warn("spill", judged.error().Text());
+  }
+  return false;
+}
+
+std::string SpillService::EstimateText() const {
+  const spill::Estimate* estimate = spill_.EstimateOf(sites_.site);
+  return estimate ? spill::ToJson(*estimate).dump() : "";
+}
+
+// ---- estimates ----------------------------------------------------------------------------------------
+void SpillService::OnHead(const boost::beast::http::response_header<>& head) {
+  const auto text = head.find(std::string(spill::kEstimateHeader));
+  if (text == head.end()) return;
+  const auto value = nlohmann::json::parse(text->value().begin(), text->value().end(), nullptr,
+                                           /*allow_exceptions=*/false);
+  if (const auto estimate = spill::FromJson(value))
+    Feed(spill::EstimateHeard{*estimate, UnixMilliseconds()});
+  else
+    log::Warn("spill", estimate.error().Text());
+}
+
+void SpillService::OnPoolFact(const fleet::DutyFact& fact) {
+  const auto estimate = spill::FromJson(fact.value);
+  if (!estimate) return log::Warn("spill", estimate.error().Text());
+  if (fact.key == "estimate/" + estimate->site && fact.duty == DutyOf(estimate->site))
+    Feed(spill::EstimateHeard{*estimate, UnixMilliseconds()});
+}
+
+void SpillService::Look() {
+  LookAtPresence();
+  Feed(spill::Tick{});
+  TellSpare();
+  MakeEstimate();
+  timer_.expires_after(options_.estimate_interval);
+  timer_.async_wait([this](const boost::system::error_code& cancelled) {
+    if (!cancelled) Look();
+  });
+}
+
+void SpillService::LookAtPresence() {
+  const auto now = pool_.Present();
+  for (const auto& [neighbour, number] : numbers_) {
+    const auto found = now.find(neighbour.gateway);
+    if (found == now.end()) continue;  // not heard of yet
+    const auto [before, fresh] = present_.try_emplace(neighbour.gateway, found->second);
+    if (!fresh && before->second == found->second) continue;
+    before->second = found->second;
+    Feed(spill::Presence{neighbour, found->second});
+  }
+}
+
+// To the ambassador, wherever it is.
+void SpillService::TellSpare() {
+  const spill::MemberSpare spare = MemberSpareOf(host_.SpareNow());
+  if (ambassador_) ambassador_->Heard(Steady::now(), self_, spare);
+  const std::string holder = site_.HolderOf(duty_);
+  const std::string name = holder.substr(0, holder.find('/'));
+  if (!site_.membership() || name.empty() || name == self_) return;
+  const auto member = site_.membership()->others().find(name);
+  if (member == site_.membership()->others().end()) return;
+  if (!site_.Send(member->second.last.address, kChannel,
+                  {{"mean", spare.mean}, {"low", spare.low}, {"wait_ms", spare.wait.count()}}))
+    log::Error("spill", "the site's spare cannot be told");
+}
+
+void SpillService::HearSpare(const std::string& member, const nlohmann::json& payload) {
+  if (!ambassador_ || !payload.is_object()) return;
+  const auto wait = std::chrono::milliseconds(static_cast<std::int64_t>(FigureIn(payload, "wait_ms")));
+  ambassador_->Heard(Steady::now(), member, {FigureIn(payload, "mean"), FigureIn(payload, "low"), wait});
+}
+
+void SpillService::MakeEstimate() {
+  const auto guard = site_.Guard(duty_);
+  if (!guard) {
+    ambassador_.reset();
+    office_ = 0;
+    return;
+  }
+  if (std::exchange(office_, guard->token()) != guard->token()) {
+    ambassador_.emplace(options_, sites_.site);
+    ambassador_->Heard(Steady::now(), self_, MemberSpareOf(host_.SpareNow()));
+    log::Info("spill", fmt::format("duty={} token={} makes the site's estimates", duty_, office_));
+    return;  // the others are heard until the next time
+  }
+  const auto estimate = ambassador_->Make(Steady::now(), UnixMilliseconds(), *guard);
+  if (!estimate) return;
+  const auto published =
+      pool_.node().Publish(*guard, "estimate/" + sites_.site, spill::ToJson(*estimate), options_.staleness);
+  if (!published) return log::Warn("spill", published.error().Text());
+  Feed(spill::EstimateHeard{*estimate, UnixMilliseconds()});
+}
+
+}  // namespace brackenspoke::proxy
--- /dev/null
+++ b/src/proxy/federation/spill_service.h
@@ -0,0 +1,105 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Spill on this gateway's sockets and clock: requests that the module has refused on their way to a neighbour
+// site and back, the site's spare on its way to the others, and the mark of requests that come from them.
+// Decides nothing: src/spill does.
+#ifndef BRACKENSPOKE_PROXY_FEDERATION_SPILL_SERVICE_H_
+#define BRACKENSPOKE_PROXY_FEDERATION_SPILL_SERVICE_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "backends.h"
+#include "brackenspoke/balancer.h"
+#include "clock.h"
+#include "federation/pool.h"
+#include "fleet/federation/section.h"
+#include "fleet/node/node.h"
+#include "request.h"
+#include "spill/ambassador.h"
+#include "spill/section.h"
+#include "spill/spill.h"
+
+namespace brackenspoke::proxy {
+
+// Whose requests are spilled. Every request offered ends by one call of the four, unless its client goes.
+class SpillHost {
+ public:
+  virtual ~SpillHost() = default;
+  virtual brackenspoke::Spare SpareNow() const = 0;
+  virtual void OnSpillBegun(RequestId request, AnswerHead head) = 0;
+  virtual void OnSpillServed(RequestId request, HttpResponse answer, Buffers::Hold hold) = 0;
+  virtual void OnSpillRefused(RequestId request, Duration retry_after) = 0;
+  virtual void OnSpillFailed(RequestId request) = 0;
+};
+
+class SpillService {
+ public:
+  // The site's ambassador has this duty in the site's own fleet.
+  static std::string DutyOf(const std::string& site) { return "ambassador/" + site; }
+
+  // `site` is the site's own fleet; all that is given outlives this.
+  SpillService(boost::asio::io_context& io, const fleet::SitesSection& sites,
+               const spill::SpillSection& section, const std::string& self, std::uint64_t seed,
+               std::function<std::size_t()> most_connections, Buffers& buffers, Pool& pool, fleet::Node& site,
+               SpillHost& host);
+
+  // The module has refused `message`, whole; its final answer comes from here.
+  void Offer(const spill::Refused& refused, std::shared_ptr<const HttpRequest> message);
+  void Gone(RequestId request);
+
+  // Whether a request comes from another site's gateway; takes the mark off it either way.
+  bool TakeMark(HttpRequest* message, const boost::asio::ip::address& peer);
+  // The site's newest estimate, for answers to such; empty: none.
+  std::string EstimateText() const;
+
+  void OnPoolFact(const fleet::DutyFact& fact);
+  std::size_t connections() const { return neighbours_.connections(); }
+  std::string Describe() const { return spill_.Describe(Steady::now()); }
+
+ private:
+  struct Open {
+    std::shared_ptr<const HttpRequest> message;
+  };
+  void Feed(const spill::Event& event);
+  void Do(const spill::SendTo& action);
+  void Do(const spill::GiveUp& action);
+  void Do(const spill::Log& action);
+  void Do(const spill::SetTimer&) {}  // Look comes as often
+
+  void OnHead(const boost::beast::http::response_header<>& head);
+  void OnDone(RequestId request, const spill::Neighbour& neighbour, Steady::time_point sent,
+              AttemptResult result);
+
+  void Look();
+  void LookAtPresence();
+  void TellSpare();
+  void HearSpare(const std::string& member, const nlohmann::json& payload);
+  void MakeEstimate();
+
+  const fleet::SitesSection sites_;
+  const spill::Options options_;
+  const std::string self_, duty_;
+  Pool& pool_;
+  fleet::Node& site_;
+  SpillHost& host_;
+  spill::Spill spill_;
+  std::map<spill::Neighbour, ServerId> numbers_;
+  Backends neighbours_;
+  std::map<RequestId, Open> open_;
+  std::map<std::string, bool> present_;  // gateways of other sites, as last told
+  std::optional<spill::Ambassador> ambassador_;
+  fleet::Token office_ = 0;  // the lease that the ambassador is of
+  Steady::time_point next_complaint_{};
+  boost::asio::steady_timer timer_;
+};
+
+}  // namespace brackenspoke::proxy
+
+#endif  // BRACKENSPOKE_PROXY_FEDERATION_SPILL_SERVICE_H_
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -67,6 +67,14 @@
   return std::min(longest, kLongestToEnd) + kEndMargin;
 }
 
+// Those of the site's fleet.
+std::vector<fleet::DutySpec> DutiesOf(const Config& config) {
+  auto duties = fleet::SiteDuties();
+  if (config.spill.on)
+    duties.push_back({SpillService::DutyOf(config.sites.site), fleet::DutyKind::kExclusive});
+  return duties;
+}
+
 Discovery::Options DiscoveryOptions(const Config& config) {
   Discovery::Options options;
   options.address = config.discovery;
@@ -117,9 +125,11 @@
   if (config_->fleet.on) {
     const std::uint64_t seed = config_->seed ^ StableHash(config_->name);
     for (const Member& member : config_->known.members) known_servers_[member.id] = member;
-    fleet_ = std::make_unique<fleet::Node>(io, config_->fleet, config_->name, seed, *this,
-                                           fleet::NodeOptions{.votes = InState(*config_, ".votes")});
+    fleet_ = std::make_unique<fleet::Node>(
+        io, config_->fleet, config_->name, seed, *this,
+        fleet::NodeOptions{.duties = DutiesOf(*config_), .votes = InState(*config_, ".votes")});
   }
+  if (config_->sites.on) BeginFederation();
   if (config_->state.on) BeginState();
   overlap_.Watch([this] { OnLook(); });
 }
@@ -143,6 +153,7 @@
 
 void Proxy::Stop(std::function<void()> done) {
   if (fleet_) fleet_->Stop();
+  if (federation_) federation_->Stop();
   const bool replaced = overlap_.OtherTakes();
   if (replaced) clients_->Steer(overlap_.OtherIsLater() ? 1 : 0);
   clients_->Stop(replaced ? kReplacedGrace : kStopGrace, replaced ? kReplacedIdle : kStopIdle,
@@ -161,6 +172,7 @@
   Feed(std::move(change));
   backends_->SetTimes(config_->connect_timeout, config_->conn_idle);
   discovery_->MoveTo(config_->discovery);
+  if (federation_) federation_->Reconfigure(*config_);
 }
 
 void Proxy::OnLook() {
@@ -194,7 +206,8 @@
 std::size_t Proxy::MostBackends() {
   overlap_.Publish({clients_->connections(), backends_->connections(), buffers_.held()});
   const double all = SharedDescriptors(*config_, overlap_.processes());
-  return Rest(all * (1 - kClientShare), overlap_.Others().backends);
+  const std::size_t spilled = federation_ && federation_->spill() ? federation_->spill()->connections() : 0;
+  return Rest(all * (1 - kClientShare), overlap_.Others().backends + spilled);
 }
 
 void Proxy::OnCall(const OperatorCall& call, OnReply reply) {
@@ -226,9 +239,14 @@
 
 OperatorReply Proxy::AskFleet(const OperatorCall& call) {
   if (!fleet_) return {false, "no fleet"};
-  if (call.verb == OperatorCall::Verb::kMembers) return {true, fleet_->Describe()};
-  if (call.verb == OperatorCall::Verb::kState) return {true, fleet_->DescribeState()};
-  const std::string leases = fleet_->DescribeLeases();
+  const auto with = [this](std::string line, const std::string& more) {
+    return federation_ && !more.empty() ? std::move(line) + (line.empty() ? "" : "; ") + more : line;
+  };
+  if (call.verb == OperatorCall::Verb::kMembers)
+    return {true, with(fleet_->Describe(), federation_ ? federation_->Members() : "")};
+  if (call.verb == OperatorCall::Verb::kState)
+    return {true, with(fleet_->DescribeState(), federation_ ? federation_->State() : "")};
+  const std::string leases = with(fleet_->DescribeLeases(), federation_ ? federation_->Leases() : "");
   return {!leases.empty(), leases.empty() ? "no leases" : leases};
 }
 
@@ -373,6 +391,7 @@
     body["incarnation"] = kept.incarnation;
     body["tokens"] = kept.tokens;
   }
+  if (federation_) body["sites"] = federation_->Keep();
   return body;
 }
 
@@ -395,6 +414,7 @@
     return std::isfinite(x) && x >= 0 ? x : 0;
   };
   Feed(Pace{figure(0), figure(1), figure(2), figure(3)});
+  if (federation_ && body.contains("sites")) federation_->Restore(body.at("sites"));
   if (!fleet_ || !body.contains("incarnation")) return;
   fleet_->Restore({body.at("incarnation").get<std::uint64_t>(),
                    body.at("tokens").get<std::map<std::string, fleet::Token>>()});
@@ -424,12 +444,14 @@
   clients_->Drain();
   overlap_.SetTaking(false);
   if (fleet_) fleet_->Leave();
+  if (federation_) federation_->Leave();
   return {true, "draining"};
 }
 
 OperatorReply Proxy::Rejoin() {
   if (clients_->Stopping()) return {false, "stopping"};
   if (fleet_) fleet_->Rejoin();
+  if (federation_) federation_->Rejoin();
   clients_->Rejoin();
   overlap_.SetTaking(Taking());
   return {true, "taking clients"};
@@ -589,7 +611,8 @@
   submit.client_retry = request.client_retry;
   submit.work_ms = request.work_ms;
   submit.uploading = request.body != nullptr;
-  Pending& pending = pending_[id];
+  Pending pending;
+  if (!Admit(request, *responder, &pending, &submit)) return id;
   pending.message = std::make_shared<const HttpRequest>(std::move(request.message));
   pending.hold = std::move(request.hold);
   pending.key = request.key;
@@ -597,13 +620,43 @@
   pending.config = std::move(request.config);
   pending.due = request.due;
   pending.responder = std::move(responder);
+  pending.submit = submit;
+  pending.came = clock_.Now();
+  pending_.emplace(id, std::move(pending));
   Feed(submit);
   return id;
 }
 
+// False if it has had its answer: its owner is over a budget that refuses.
+bool Proxy::Admit(const ClientRequest& request, Responder& responder, Pending* pending, Submit* submit) {
+  submit->spilled = request.spilled;
+  if (!federation_ || request.spilled || request.config->tenants.empty()) return true;
+  const std::string& owner = request.config->tenants[static_cast<std::size_t>(request.tenant)];
+  const auto charged = federation_->Charge(owner, request.has_hint ? request.work_ms : MeanWork());
+  pending->ticket = charged.ticket;
+  if (charged.verdict != quota::Verdict::kUnknown)
+    submit->share = charged.verdict == quota::Verdict::kInside ? Share::kInside : Share::kOver;
+  if (charged.verdict != quota::Verdict::kOver || charged.over != quota::Over::kRefuse) return true;
+  const Duration most = request.config->settings.max_retry_after;
+  responder.OverBudget(std::min(most, Duration(charged.retry_after)));
+  return false;
+}
+
+// Of a request without a hint, in ms: the mean of those answered.
+double Proxy::MeanWork() const {
+  const Pace pace = balancer_.Learnt();
+  return pace.answers_per_ms > 0 ? pace.work_per_ms / pace.answers_per_ms : 1;
+}
+
+void Proxy::CreditIfNotRun(const Pending& pending, bool proven) {
+  if (federation_ && (proven || pending.attempts == 0)) federation_->Credit(pending.ticket);
+}
+
 void Proxy::OnClientGone(RequestId request) {
   if (!Conclude(request)) return;
+  CreditIfNotRun(pending_.at(request), false);
   ForgetIfOver(request);
+  if (federation_ && federation_->spill()) federation_->spill()->Gone(request);
   Feed(ClientGone{request});
 }
 
@@ -696,15 +749,82 @@
 }
 
 void Proxy::Do(const Refuse& action) {
-  if (const auto responder = Conclude(action.request)) responder->Refused(action.retry_after);
-  ForgetIfOver(action.request);
+  if (!Spill(action.request, action.retry_after)) OnSpillRefused(action.request, action.retry_after);
 }
 
 void Proxy::Do(const Fail& action) {
-  if (const auto responder = Conclude(action.request)) responder->Failed();
+  if (const auto responder = Conclude(action.request)) {
+    CreditIfNotRun(pending_.at(action.request), false);
+    responder->Failed();
+  }
   ForgetIfOver(action.request);
 }
 
+// ---- the federation -----------------------------------------------------------------------------------
+void Proxy::BeginFederation() {
+  const auto connections = [this] { return std::max<std::size_t>(8, MostBackends() / 4); };
+  federation_ = std::make_unique<Federation>(io_, *config_, InState(*config_, ".sites-votes"), *fleet_,
+                                             connections, buffers_, static_cast<SpillHost&>(*this));
+  if (config_->spill.on) Feed(SpillShare{config_->spill.options.most_part});
+}
+
+bool Proxy::TakeMark(HttpRequest* message, const boost::asio::ip::address& peer) {
+  return federation_ && federation_->spill() && federation_->spill()->TakeMark(message, peer);
+}
+
+std::string Proxy::EstimateText() const {
+  return federation_ && federation_->spill() ? federation_->spill()->EstimateText() : "";
+}
+
+// Offers what the module has refused; false if it is not to be had whole.
+bool Proxy::Spill(RequestId request, Duration retry_after) {
+  const auto found = pending_.find(request);
+  if (!federation_ || !federation_->spill() || found == pending_.end() || !found->second.responder)
+    return false;
+  const Pending& pending = found->second;
+  if (pending.body || pending.attempt_out) return false;
+  const ClassSettings& rules = pending.config->settings.classes[pending.submit.request_class];
+  const auto span = [](Duration d) { return std::chrono::duration_cast<Span>(d); };
+  const TimePoint now = clock_.Now();
+  spill::Refused refused;
+  refused.request = request;
+  refused.effect = rules.effect;
+  refused.aim_left = span(pending.came + rules.aim - now);
+  refused.deadline_left = pending.due - Steady::now();
+  refused.work_ms = pending.submit.has_hint ? pending.submit.work_ms : MeanWork();
+  refused.worth = rules.worth;
+  refused.key = pending.key;
+  refused.within_budget = pending.submit.share != Share::kOver;
+  refused.spilled = pending.submit.spilled;
+  refused.retry_after = span(retry_after);
+  federation_->spill()->Offer(refused, pending.message);
+  return true;
+}
+
+void Proxy::OnSpillBegun(RequestId request, AnswerHead head) {
+  const auto responder = Conclude(request);
+  responder ? responder->Begun(std::move(head)) : head.body->Abandon();
+  ForgetIfOver(request);
+}
+
+void Proxy::OnSpillServed(RequestId request, HttpResponse answer, Buffers::Hold hold) {
+  if (const auto responder = Conclude(request)) responder->Served(std::move(answer), std::move(hold));
+  ForgetIfOver(request);
+}
+
+void Proxy::OnSpillRefused(RequestId request, Duration retry_after) {
+  if (const auto responder = Conclude(request)) {
+    CreditIfNotRun(pending_.at(request), true);
+    responder->Refused(retry_after);
+  }
+  ForgetIfOver(request);
+}
+
+void Proxy::OnSpillFailed(RequestId request) {
+  if (const auto responder = Conclude(request)) responder->Failed();
+  ForgetIfOver(request);
+}
+
 void Proxy::Do(const SetTimer& action) { timers_.emplace(action.at, action.token); }
 
 void Proxy::Do(const Subscribe&) {
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -23,6 +23,7 @@
 #include "clock.h"
 #include "config.h"
 #include "discovery.h"
+#include "federation/federation.h"
 #include "fleet/node/node.h"
 #include "maintenance.h"
 #include "members.h"
@@ -32,7 +33,7 @@
 
 namespace brackenspoke::proxy {
 
-class Proxy : public RequestHandler, public OperatorHandler, public fleet::Facts {
+class Proxy : public RequestHandler, public OperatorHandler, public fleet::Facts, private SpillHost {
  public:
   // Watches discovery from here on, and listens: at once, or beside another process of this proxy once the
   // list is fresh.
@@ -51,6 +52,8 @@
   void OnClientGone(RequestId request) override;
   bool Ready() const override;
   std::shared_ptr<const Config> InForce() const override { return config_; }
+  bool TakeMark(HttpRequest* message, const boost::asio::ip::address& peer) override;
+  std::string EstimateText() const override;
   void OnCall(const OperatorCall& call, OnReply reply) override;
   bool Listed(const std::string& server) const override { return in_list_.contains(server); }
   void OnVerdict(const fleet::Verdict& verdict) override;
@@ -78,6 +81,9 @@
     Steady::time_point due{};
     std::shared_ptr<Responder> responder;  // null once answered
     std::uint64_t key = 0;
+    quota::Ticket ticket;  // of what was charged to its owner's budget
+    Submit submit;         // as the module was told
+    TimePoint came{};
     int attempts = 0;
     bool attempt_out = false;
     Steady::time_point sent_at{};  // the attempt, or the request's last byte
@@ -120,6 +126,16 @@
   std::size_t MostClients();
   std::size_t MostBackends();
 
+  bool Admit(const ClientRequest& request, Responder& responder, Pending* pending, Submit* submit);
+  brackenspoke::Spare SpareNow() const override { return balancer_.Spare(clock_.Now()); }
+  void OnSpillBegun(RequestId request, AnswerHead head) override;
+  void OnSpillServed(RequestId request, HttpResponse answer, Buffers::Hold hold) override;
+  void OnSpillRefused(RequestId request, Duration retry_after) override;
+  void OnSpillFailed(RequestId request) override;
+  bool Spill(RequestId request, Duration retry_after);
+  void BeginFederation();
+  double MeanWork() const;
+  void CreditIfNotRun(const Pending& pending, bool proven);
   void Feed(Event event);
   void HandleQueued();
   void OnList(const MemberList& list, ListKind kind);
@@ -176,8 +192,9 @@
   std::unique_ptr<Clients> clients_;
   std::unique_ptr<Discovery> discovery_;
   std::unique_ptr<Operators> operators_;
-  std::unique_ptr<fleet::Node> fleet_;     // where the configuration has a fleet
-  std::unique_ptr<state::Keeper> keeper_;  // where it has a state section
+  std::unique_ptr<fleet::Node> fleet_;      // where the configuration has a fleet
+  std::unique_ptr<Federation> federation_;  // where it has sites
+  std::unique_ptr<state::Keeper> keeper_;   // where it has a state section
 };
 
 }  // namespace brackenspoke::proxy
--- a/src/proxy/request.h
+++ b/src/proxy/request.h
@@ -31,6 +31,7 @@
   int tenant = 0;
   std::uint64_t key = 0;
   bool has_hint = false, client_retry = false;
+  bool spilled = false;  // here, by another site's gateway
   double work_ms = 0;
   std::shared_ptr<const Config> config;  // in force when it came
 };
--- a/src/proxy/session.cpp
+++ b/src/proxy/session.cpp
@@ -10,6 +10,8 @@
 #include <cstdio>
 #include <utility>
 
+#include "spill/incoming.h"
+
 namespace brackenspoke::proxy {
 namespace {
 
@@ -150,6 +152,9 @@
     last_ |= has_body || complaint->status == http::status::not_implemented;
     return Write(Plain(complaint->status, complaint->text + '\n'));
   }
+  Error gone;
+  const auto peer = stream_.socket().remote_endpoint(gone);
+  coming_.spilled = spilled_ = owner_->handler_.TakeMark(&coming_.message, peer.address());
   coming_.hold = Buffers::Hold(owner_->buffers_);
   if (has_body && waits && buffer_.size() == 0) return Continue();
   ReadBody();
@@ -310,14 +315,22 @@
 }
 
 void Clients::Session::Refused(Duration retry_after) {
+  WriteRefusal(Plain(http::status::service_unavailable, "refused; trying again is harmless\n"), retry_after);
+}
+
+void Clients::Session::OverBudget(Duration retry_after) {
+  WriteRefusal(Plain(http::status::too_many_requests, "over the budget; trying again is harmless\n"),
+               retry_after);
+}
+
+void Clients::Session::WriteRefusal(HttpResponse refusal, Duration retry_after) {
   if (!Holds()) return;
-  HttpResponse mine = Plain(http::status::service_unavailable, "refused; trying again is harmless\n");
   if (retry_after.count() > 0) {
     char seconds[32];
     std::snprintf(seconds, sizeof seconds, "%.3f", retry_after.count() / 1000);
-    mine.set(http::field::retry_after, seconds);
+    refusal.set(http::field::retry_after, seconds);
   }
-  Write(std::move(mine));
+  Write(std::move(refusal));
 }
 
 void Clients::Session::Failed() {
@@ -354,6 +367,9 @@
   last_ |=
       std::exchange(following_, false);  // of a request that has not come whole, nobody waits for the rest
   response_.keep_alive(!last_);
+  if (std::exchange(spilled_, false))
+    if (const std::string estimate = owner_->handler_.EstimateText(); !estimate.empty())
+      response_.set(std::string(spill::kEstimateHeader), estimate);
   serializer_.emplace(response_);
   Error ignored;
   stream_.socket().cancel(ignored);  // the watch for the client's end, or for more of its body
--- a/src/proxy/session.h
+++ b/src/proxy/session.h
@@ -48,6 +48,7 @@
   void Begun(AnswerHead head) override;
   void Refused(Duration retry_after) override;
   void Failed() override;
+  void OverBudget(Duration retry_after) override;
 
   // ---- the request's body as a source -----------------------------------------------------------------
   void Next(OnPiece on_piece) override;
@@ -80,6 +81,7 @@
   void Break();
   void WatchClient();
 
+  void WriteRefusal(HttpResponse refusal, Duration retry_after);
   void Write(HttpResponse response);
   void BeginAnswer();
   void WriteAnswer(std::string piece, bool last);
@@ -111,6 +113,7 @@
   bool in_head_ = false;    // the next bytes are of a request's head
   bool following_ = false;  // its body is passed on, and has not come whole
   bool spent_ = false;
+  bool spilled_ = false;  // the request came from another site's gateway
 
   // The answer.
   Response response_;
--- a/src/quota/messages.h
+++ b/src/quota/messages.h
@@ -73,7 +73,7 @@
   std::vector<Floor> floors;       // where the revisions differ
 };
 
-inline constexpr std::size_t kMostMessage = 1200;  // bytes of JSON text, and fewer of MessagePack
+inline constexpr std::size_t kMostMessage = 1000;  // bytes of JSON text, fewer of MessagePack, which fits a payload
 inline constexpr std::size_t kMostPartner = 64;    // bytes of a partner's name
 
 // Objects with keys of one letter, lists for what repeats. From... check all: unknown keys, missing ones,
--- a/tests/federation/section_test.cpp
+++ b/tests/federation/section_test.cpp
@@ -23,6 +23,12 @@
   config["listen"] = "127.0.1.1:8080";
   config["fleet"] = {{"bind", "127.0.1.1:7946"}};
   config["sites"] = SitesJson(3, 2);
+  config["settings"]["tenants"] = {{{"name", "isar"}}};
+  config["quota"] = {{"revision", 1},
+                     {"partners", {{"isar", {{"per_s", 200}, {"burst", 400}, {"floors", {{"a", 50}}}}}}}};
+  config["fleet"]["seeds"] = {"127.0.1.1:7946"};
+  config["fleet"]["lease_term_ms"] = 3000;
+  config["spill"] = json::object();
   return config;
 }
 
@@ -37,13 +43,15 @@
 
 TEST(Sites, AbsentIsOff) {
   json config = WithSites();
-  config.erase("sites");
+  for (const char* section : {"sites", "quota", "spill"}) config.erase(section);
   EXPECT_FALSE(ConfigOf(config).sites.on);
+  EXPECT_FALSE(ConfigOf(config).quota.on);
+  EXPECT_FALSE(ConfigOf(config).spill.on);
 }
 
 TEST(Sites, AreReadWithTheirUnits) {
   json config = WithSites();
-  config["sites"]["lease_term_ms"] = 1500;
+  config["sites"]["lease_term_ms"] = 6000;
   const fleet::SitesSection sites = ConfigOf(config).sites;
   ASSERT_TRUE(sites.on);
   EXPECT_EQ(sites.site, "a");
@@ -52,11 +60,24 @@
   EXPECT_EQ(fleet::SiteOf(sites, "b2"), "b");
   EXPECT_EQ(fleet::SiteOf(sites, "d1"), "");
   const fleet::FleetSection pool = fleet::PoolOf(sites);
-  EXPECT_EQ(pool.lease_term, std::chrono::milliseconds(1500));
+  EXPECT_EQ(pool.lease_term, std::chrono::milliseconds(6000));
   EXPECT_EQ(pool.advertise, pool.bind);
   EXPECT_EQ(pool.seeds, sites.voters);
 }
 
+json& Isar(json& config) { return config["quota"]["partners"]["isar"]; }
+
+TEST(QuotaSection, AReloadTakesOtherBudgetsOfALaterRevisionAlone) {
+  json config = WithSites();
+  const proxy::Config current = ConfigOf(config);
+  Isar(config)["per_s"] = 100;
+  EXPECT_THROW(proxy::Reconfigure(config.dump(), current), proxy::BadConfig);
+  config["quota"]["revision"] = 2;
+  EXPECT_EQ(proxy::Reconfigure(config.dump(), current).quota.budgets->partners.at("isar").rate, 100000);
+  config["quota"]["draw_ms"] = 1500;
+  EXPECT_THROW(proxy::Reconfigure(config.dump(), current), proxy::BadConfig);
+}
+
 struct Case {
   const char* fault;
   std::function<void(json& config)> break_it;
@@ -125,7 +146,35 @@
      [](json& c) { c["sites"]["advertise"] = "127.0.1.1:7901"; }},
     {"sites.gateways.a.a1.clients is not listen", [](json& c) { c["listen"] = "127.0.1.1:8081"; }},
     {"sites.bind is fleet.bind, too", [](json& c) { c["fleet"]["bind"] = c["sites"]["bind"]; }},
-    {"fleet is missing, which sites needs", [](json& c) { c.erase("fleet"); }},
+    {"fleet is missing, which sites needs",
+     [](json& c) {
+       c.erase("fleet");
+       c.erase("spill");
+     }},
+    {"quota.revision is missing", [](json& c) { c["quota"].erase("revision"); }},
+    {"quota.partners is missing", [](json& c) { c["quota"].erase("partners"); }},
+    {"quota.draw_ms is under 4 times ask_ms", [](json& c) { c["quota"]["ask_ms"] = 501; }},
+    {"quota.draw_ms is not under sites.lease_term_ms less 2 times lease_drift_ms",
+     [](json& c) { c["quota"]["draw_ms"] = 2800; }},
+    {"quota.partners.isar.per_s is missing",
+     [](json& c) { Isar(c).erase("per_s"), Isar(c).erase("floors"); }},
+    {"quota.partners.isar.burst is no number from 0.001 to 9000000",
+     [](json& c) { Isar(c)["burst"] = -1, Isar(c).erase("floors"); }},
+    {"quota.partners.isar.unit is neither requests nor work", [](json& c) { Isar(c)["unit"] = "bytes"; }},
+    {"quota.partners.isar.over is neither mark nor refuse", [](json& c) { Isar(c)["over"] = 1; }},
+    {"quota.partners.isar.colour is no known key", [](json& c) { Isar(c)["colour"] = 1; }},
+    {"quota.partners.isar.floors are over per_s together", [](json& c) { Isar(c)["floors"]["b"] = 151; }},
+    {"quota.partners.isar.floors.d is no site", [](json& c) { Isar(c)["floors"]["d"] = 1; }},
+    {"quota.partners.isar.burst is too small: a gateway's part of it by floors.a holds no request",
+     [](json& c) { Isar(c)["burst"] = 7; }},
+    {"quota.partners.isar is no tenant of the settings",
+     [](json& c) {
+       c["settings"]["tenants"] = {{{"name", "lech"}}};
+     }},
+    {"quota needs the section sites", [](json& c) { c.erase("sites"), c.erase("spill"); }},
+    {"spill needs the section sites", [](json& c) { c.erase("sites"), c.erase("quota"); }},
+    {"spill: fleet.lease_term_ms is missing, as the ambassador needs a lease",
+     [](json& c) { c["fleet"].erase("lease_term_ms"); }},
 };
 
 INSTANTIATE_TEST_SUITE_P(Table, SitesFault, ::testing::ValuesIn(kCases),
