--- a/src/proxy/config.cpp
+++ b/src/proxy/config.cpp
@@ -240,8 +240,10 @@
   if (config.sites.on && !config.fleet.on) faults.push_back("fleet is missing, which sites needs");
   if (config.sites.on && config.fleet.bind == config.sites.bind)
     faults.push_back("sites.bind is fleet.bind, too");
-  quota::CheckQuota(config.quota, LayoutOf(config.sites), config.tenants, config.sites.lease_term,
-                    config.sites.lease_drift, &faults);
+  if (config.quota.on && !config.sites.on) faults.push_back("quota needs the section sites");
+  if (config.quota.on && config.sites.on)
+    quota::CheckQuota(config.quota, LayoutOf(config.sites), {config.tenants.begin(), config.tenants.end()},
+                      config.sites.lease_term, config.sites.lease_drift, &faults);
   spill::CheckSpill(config.spill, DirectoryOf(config.sites), config.sites.site, config.fleet.lease_term,
                     &faults);
   if (!faults.empty()) throw BadConfig(std::move(faults));
@@ -250,9 +252,9 @@
 // Gateways agree on budgets by their revision.
 void CheckRevision(const json& root, const Config& fresh, const Config& current) {
   if (!fresh.quota.on) return;
-  if (fresh.quota.budgets->revision < current.quota.budgets->revision)
+  if (fresh.quota.budgets.revision < current.quota.budgets.revision)
     throw BadConfig("quota.revision is smaller than the one in force");
-  if (fresh.quota.budgets->revision == current.quota.budgets->revision &&
+  if (fresh.quota.budgets.revision == current.quota.budgets.revision &&
       root.at("quota").at("partners") != current.file->at("quota").at("partners"))
     throw BadConfig("quota.partners is another, and quota.revision the same");
 }
--- a/src/proxy/federation/quota_service.cpp
+++ b/src/proxy/federation/quota_service.cpp
@@ -66,7 +66,7 @@
     : io_(io),
       pool_(pool),
       options_(AccountOptionsOf(sites, section, life)),
-      budgets_(section.budgets),
+      budgets_(std::make_shared<const quota::Budgets>(section.budgets)),
       timer_(io) {
   for (std::size_t i = 0; i < section.treasurers; ++i)
     treasurers_.emplace_back(
@@ -103,7 +103,7 @@
 }
 
 void QuotaService::Renew(const quota::QuotaSection& section) {
-  budgets_ = section.budgets;
+  budgets_ = std::make_shared<const quota::Budgets>(section.budgets);
   for (quota::Treasurer& treasurer : treasurers_) treasurer.Renew(budgets_);
   if (account_) {
     quota::AccountActions actions;
--- a/src/quota/budget.h
+++ b/src/quota/budget.h
@@ -44,7 +44,9 @@
   Span draw = std::chrono::milliseconds(2000);  // the longest life of a draw
   Span ask = std::chrono::milliseconds(250);    // between two asks of a gateway that has less than it needs
   Span term = std::chrono::milliseconds(3000);  // of the treasurers' leases
-  Span drift = std::chrono::milliseconds(100);  // that two machines' clocks may differ over a term
+  Span drift = std::chrono::milliseconds(100);  // that a clock may gain or lose over a term
+  // By how much two machines' clocks may differ over any span of at most a term.
+  Span Apart() const { return 2 * drift; }
 };
 
 // The part that goes with `rate` of `budget`: its depth is the burst's share, rounded down.
@@ -55,7 +57,7 @@
 Part FloorOf(const Budget& budget, const std::string& site, std::size_t gateways);
 
 // The rate at which a bucket may fill by a machine's own clock so that it never fills faster than `rate` in
-// true time: each clock's rate is within drift / 2 term of true, so two differ by at most drift over a term.
+// true time, as each clock's rate is within drift / term of true: rate x term / (term + drift), rounded down.
 Milli SlowedRate(Milli rate, const Timings& timings);
 
 // Which of `treasurers` duties the partner belongs to: XXH3 of its name, modulo. Not for 0 treasurers.
--- a/src/quota/commitments.cpp
+++ b/src/quota/commitments.cpp
@@ -15,7 +15,7 @@
     return draw.life == life && draw.id == id;
   });
   if (taken == draws.end()) return;
-  lent_until = std::max(lent_until, taken->sent + away - drift_);
+  lent_until = std::max(lent_until, taken->sent + away - apart_);
   std::erase_if(draws, [&](const Outstanding& draw) { return draw.life == life && draw.id < id; });
 }
 
--- a/src/quota/partner_treasury.cpp
+++ b/src/quota/partner_treasury.cpp
@@ -26,7 +26,7 @@
 }  // namespace
 
 PartnerTreasury::PartnerTreasury(const Timings& timings)
-    : timings_(&timings), commitments_(timings.draw / kSlots, timings.drift) {}
+    : timings_(&timings), commitments_(timings.draw / kSlots, timings.Apart()) {}
 
 void PartnerTreasury::Schedule(Time now) {
   const Time least = handed_out_ == Time::min() ? now : std::max(now, handed_out_ + kPause);
@@ -156,18 +156,18 @@
   handed_out_ = now;
   waits_ = false;
   Target(now, budget, floors);
-  std::vector<Part> sums = commitments_.Sums(now, now + timings_->draw + timings_->drift, floors);
+  std::vector<Part> sums = commitments_.Sums(now, now + timings_->draw + timings_->Apart(), floors);
   std::vector<Handed> handed;
   for (const GatewayId gateway : Due()) {
     Asker& asker = askers_[gateway];
     const Part floor = floors.Of(gateway);
     const Milli target = targets_[gateway];
-    const auto [part, end] = Fit(now, std::min(asker.at + timings_->draw + timings_->drift, deadline),
+    const auto [part, end] = Fit(now, std::min(asker.at + timings_->draw + timings_->Apart(), deadline),
                                  gateway, asker.life, target, budget, floor, sums);
     waits_ = waits_ || part.rate < target;
     if (part.rate < std::min(target, RateFor(budget, std::max(asker.least, kOne)))) continue;
-    const auto life = std::chrono::floor<milliseconds>(end - timings_->drift - asker.at);
-    const Time until = asker.at + life + timings_->drift;
+    const auto life = std::chrono::floor<milliseconds>(end - timings_->Apart() - asker.at);
+    const Time until = asker.at + life + timings_->Apart();
     const Outstanding* newest = commitments_.Newest(gateway, asker.life);
     if (asker.answered && newest && newest->part == part && newest->until >= until) continue;
     if (asker.at + life <= now) continue;
--- a/src/quota/section.cpp
+++ b/src/quota/section.cpp
@@ -1,9 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "quota/section.h"
 
-#include <algorithm>
 #include <cmath>
-#include <nlohmann/json.hpp>
 
 #include "base/config/section.h"
 #include "quota/messages.h"
@@ -13,59 +11,41 @@
 
 using nlohmann::json;
 
-constexpr int kAsksInADraw = 4;  // at least, so that a lost one does not cost the draw
+constexpr double kLeast = 0.001;  // a unit a second, or a unit
 
-// In thousandths; 0 after a fault.
-Milli ReadAmount(const json& value, double least, Milli most, const std::string& path, Section* section) {
-  const double units = value.is_number() ? value.get<double>() : -1;
-  if (!(units >= least && units <= static_cast<double>(most / kOne))) {
-    section->Fault(path, "is no number from " + json(least).dump() + " to " + std::to_string(most / kOne));
-    return 0;
-  }
-  return std::llround(units * static_cast<double>(kOne));
-}
-
-// Which of two words a key has; the first where it is absent.
-bool IsSecond(const json& partner, const char* key, const char* first, const char* second,
-              const std::string& path, Section* section) {
-  const auto found = partner.find(key);
-  if (found == partner.end() || *found == first) return false;
-  if (*found != second)
-    section->Fault(path + "." + key, std::string("is neither ") + first + " nor " + second);
-  return *found == second;
-}
+Milli MilliOf(double units) { return std::llround(units * static_cast<double>(kOne)); }
 
-Milli ReadRequired(const json& partner, const char* key, Milli most, const std::string& path,
-                   Section* section) {
-  const auto found = partner.find(key);
-  if (found != partner.end()) return ReadAmount(*found, 0.001, most, path + "." + key, section);
-  section->Fault(path + "." + key, "is missing");
-  return 0;
-}
-
-void ReadFloors(const json& floors, const std::string& path, Section* section, Budget* budget) {
-  if (!floors.is_object()) return section->Fault(path, "is no object");
+Budget ReadBudget(const json& partners, const std::string& name, std::vector<std::string>* faults) {
+  std::vector<std::string> here;
+  Section section(partners, name, {"per_s", "burst", "unit", "over", "floors"}, &here);
+  double rate = 0, burst = 0;
+  std::string unit = "requests", over = "mark";
+  section.Real("per_s", kLeast, static_cast<double>(kMostRate / kOne), &rate);
+  section.Real("burst", kLeast, static_cast<double>(kMostBurst / kOne), &burst);
+  section.Text("unit", &unit);
+  section.Text("over", &over);
+  for (const char* key : {"per_s", "burst"})
+    if (!section.Find(key)) section.Fault(key, "is missing");
+  if (unit != "requests" && unit != "work") section.Fault("unit", "is neither requests nor work");
+  if (over != "mark" && over != "refuse") section.Fault("over", "is neither mark nor refuse");
+  Budget budget{MilliOf(rate),
+                MilliOf(burst),
+                unit == "work" ? Unit::kWork : Unit::kRequests,
+                over == "refuse" ? Over::kRefuse : Over::kMark,
+                {}};
+  const json* floors = section.Find("floors");
+  if (floors && !floors->is_object()) section.Fault("floors", "is no object");
   Milli sum = 0;
-  for (const auto& [site, rate] : floors.items())
-    sum += budget->floors[site] = ReadAmount(rate, 0, kMostRate, path + "." + site, section);
-  if (sum > budget->rate) section->Fault(path, "are over per_s together");
-}
-
-Budget ReadBudget(const json& partner, const std::string& path, Section* section) {
-  Budget budget;
-  if (!partner.is_object()) {
-    section->Fault(path, "is no object");
-    return budget;
+  const json none = json::object();
+  for (const auto& [site, value] : (floors && floors->is_object() ? *floors : none).items()) {
+    if (!value.is_number() || !(value.get<double>() >= 0) || value.get<double>() > rate) {
+      section.Fault("floors." + site, "is no figure from 0 to per_s");
+      continue;
+    }
+    sum += budget.floors[site] = MilliOf(value.get<double>());
   }
-  for (const auto& [key, value] : partner.items())
-    if (key != "per_s" && key != "burst" && key != "unit" && key != "over" && key != "floors")
-      section->Fault(path + "." + key, "is no known key");
-  budget.rate = ReadRequired(partner, "per_s", kMostRate, path, section);
-  budget.burst = ReadRequired(partner, "burst", kMostBurst, path, section);
-  if (IsSecond(partner, "unit", "requests", "work", path, section)) budget.unit = Unit::kWork;
-  if (IsSecond(partner, "over", "mark", "refuse", path, section)) budget.over = Over::kRefuse;
-  if (const auto floors = partner.find("floors"); floors != partner.end())
-    ReadFloors(*floors, path + ".floors", section, &budget);
+  if (sum > budget.rate) section.Fault("floors", "are more than per_s together");
+  for (const std::string& fault : here) faults->push_back("quota.partners." + fault);
   return budget;
 }
 
@@ -75,47 +55,48 @@
   QuotaSection quota;
   Section section(root, "quota", {"revision", "treasurers", "draw_ms", "ask_ms", "partners"}, faults);
   quota.on = section.present();
-  if (!quota.on) return quota;
-  Budgets budgets;
-  section.Whole<std::uint64_t>("revision", 1, 1'000'000'000'000, &budgets.revision);
-  if (!section.Find("revision")) section.Fault("revision", "is missing");
+  section.Whole<std::uint64_t>("revision", 0, std::uint64_t{1} << 62, &quota.budgets.revision);
   section.Whole<std::size_t>("treasurers", 1, 64, &quota.treasurers);
   section.Time("draw_ms", 100, 60000, &quota.draw);
-  section.Time("ask_ms", 10, 60000, &quota.ask);
-  if (quota.draw < quota.ask * kAsksInADraw) section.Fault("draw_ms", "is under 4 times ask_ms");
+  section.Time("ask_ms", 10, 10000, &quota.ask);
+  if (!quota.on) return quota;
+  if (!section.Find("revision")) section.Fault("revision", "is missing");
+  if (quota.draw < 4 * quota.ask) section.Fault("draw_ms", "is under 4 times ask_ms");
   const json* partners = section.Find("partners");
   if (!partners || !partners->is_object()) {
-    section.Fault("partners", partners ? "is no object" : "is missing");
+    section.Fault("partners", "is no object");
     return quota;
   }
-  for (const auto& [name, partner] : partners->items()) {
-    const std::string path = "partners." + name;
-    if (name.empty() || name.size() > kMostPartner) section.Fault(path, "is no name of 1 to 64 bytes");
-    budgets.partners[name] = ReadBudget(partner, path, &section);
+  for (const auto& [name, value] : partners->items()) {
+    if (name.empty() || name.size() > kMostPartner || !value.is_object())
+      section.Fault("partners." + name, "is no partner");
+    else
+      quota.budgets.partners[name] = ReadBudget(*partners, name, faults);
   }
-  quota.budgets = std::make_shared<const Budgets>(std::move(budgets));
   return quota;
 }
 
-void CheckQuota(const QuotaSection& quota, const Layout& layout, const std::vector<std::string>& tenants,
-                std::chrono::milliseconds term, std::chrono::milliseconds drift,
+void CheckQuota(const QuotaSection& quota, const Layout& sites, const std::set<std::string>& tenants,
+                std::chrono::milliseconds lease_term, std::chrono::milliseconds lease_drift,
                 std::vector<std::string>* faults) {
   if (!quota.on) return;
-  if (layout.empty()) return faults->push_back("quota needs the section sites");
-  if (quota.draw >= term - 2 * drift)
-    faults->push_back("quota.draw_ms is not under sites.lease_term_ms less 2 times lease_drift_ms");
-  for (const auto& [name, budget] : quota.budgets->partners) {
-    const std::string path = "quota.partners." + name;
-    if (std::find(tenants.begin(), tenants.end(), name) == tenants.end())
-      faults->push_back(path + " is no tenant of the settings");
-    for (const auto& [site, rate] : budget.floors) {
-      const auto gateways = layout.find(site);
-      if (gateways == layout.end()) {
-        faults->push_back(path + ".floors." + site + " is no site");
-      } else if (rate > 0 && FloorOf(budget, site, gateways->second.size()).depth < kOne) {
-        faults->push_back(path + ".burst is too small: a gateway's part of it by floors." + site +
-                          " holds no request");
-      }
+  if (quota.draw >= lease_term - 2 * lease_drift)
+    faults->push_back("quota.draw_ms is not under sites.lease_term_ms less twice sites.lease_drift_ms");
+  std::set<std::string> names;
+  for (const auto& [site, gateways] : sites)
+    for (const std::string& gateway : gateways)
+      if (!names.insert(gateway).second)
+        faults->push_back("sites.gateways." + site + "." + gateway + " is the name of two gateways");
+  for (const auto& [partner, budget] : quota.budgets.partners) {
+    const std::string at = "quota.partners." + partner;
+    if (!tenants.contains(partner)) faults->push_back(at + " is no tenant of the settings");
+    for (const auto& [site, floor] : budget.floors) {
+      const auto gateways = sites.find(site);
+      if (gateways == sites.end())
+        faults->push_back(at + ".floors." + site + " is no site");
+      else if (floor > 0 && budget.unit == Unit::kRequests &&
+               FloorOf(budget, site, gateways->second.size()).depth < kOne)
+        faults->push_back(at + ".floors." + site + " gives a gateway too little burst for one request");
     }
   }
 }
