--- a/src/fleet/node/node.cpp
+++ b/src/fleet/node/node.cpp
@@ -194,10 +194,10 @@
   const Time now = Steady::now();
   std::string line;
   for (const auto& [duty, kind] : options_.duties)
-    line += fmt::format("{}{} {} holder={} token={} left={:.1f}s", line.empty() ? "" : ", ", duty,
+    line += fmt::format("{}{} {} holder={} token={} left={:.1f}s kind={}", line.empty() ? "" : ", ", duty,
                         Name(leases_->role(now, duty)),
                         leases_->holder(duty).empty() ? "-" : leases_->holder(duty), leases_->token(duty),
-                        Seconds(leases_->left(now, duty)));
+                        Seconds(leases_->left(now, duty)), Name(kind));
   return line;
 }
 
--- a/src/proxy/failures.h
+++ b/src/proxy/failures.h
@@ -23,6 +23,9 @@
                                            "report it with the lines before it; the process goes on"};
 inline constexpr FailureKind kNotStarted{"PROXY-5", "the process cannot run",
                                          "mend what is named and start it again"};
+inline constexpr FailureKind kNotSent{
+    "PROXY-6", "a message to another gateway is too long to be sent",
+    "report it with the line; until it is mended that gateway goes without"};
 inline constexpr FailureKind kNotReloaded{
     "CONFIG-1", "the new configuration is not fit and changes nothing",
     "correct the file, try it with --check-config and send SIGHUP again"};
@@ -52,9 +55,9 @@
                                               "see that $TMPDIR is there, can be written and has room"};
 
 inline constexpr std::array kProxyFailures{
-    &kDiscoveryAway, &kGarbledLine, &kAnswerBroken, &kHandlerFault,  &kNotStarted,     &kNotReloaded,
-    &kUnknownKey,    &kBadConfig,   &kNoCall,       &kUnknownServer, &kNotKept,        &kNotSeen,
-    &kDraining,      &kStopping,    &kNotServing,   &kNoFleet,       &kMaintenanceFile};
+    &kDiscoveryAway, &kGarbledLine, &kAnswerBroken, &kHandlerFault, &kNotStarted,    &kNotSent,
+    &kNotReloaded,   &kUnknownKey,  &kBadConfig,    &kNoCall,       &kUnknownServer, &kNotKept,
+    &kNotSeen,       &kDraining,    &kStopping,     &kNotServing,   &kNoFleet,       &kMaintenanceFile};
 
 }  // namespace brackenspoke::proxy
 
