Never do an exclusive duty while the address is not had; name the actor's file of votes by NodeOptions

Cause: a Node without its address yet has no leases, and took every duty but maintenance to be its own; with duties named by NodeOptions an ambassador or treasurer would have been among them. The tests' actor still passed its file of votes as a Node took it before, and did not compile.

Change: the kinds of the options' duties decide; the actor uses NodeOptions.

--- a/src/fleet/node/node.cpp
+++ b/src/fleet/node/node.cpp
@@ -156,7 +156,11 @@
 }
 
 bool Node::Does(const std::string& duty) const {
-  if (!leases_) return !leased() || duty != kMaintenanceDuty;
+  // An exclusive one never without a lease, though the address is not had yet.
+  const auto exclusive = [&](const DutySpec& each) {
+    return each.name == duty && each.kind == DutyKind::kExclusive;
+  };
+  if (!leases_) return !leased() || std::none_of(options_.duties.begin(), options_.duties.end(), exclusive);
   const Role role = leases_->role(Steady::now(), duty);
   return role == Role::kHolder || role == Role::kAlone;
 }
@@ -180,8 +184,7 @@
   if (!guard.Holds(Steady::now())) return tl::unexpected(Failure(kPastDeadline, key));
   const UnixMs now = UnixMilliseconds();
   const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(lasts).count();
-  state_.Tell(
-      DutyFact{guard.duty(), key, guard.token(), now + static_cast<UnixMs>(ms), std::move(value)});
+  state_.Tell(DutyFact{guard.duty(), key, guard.token(), now + static_cast<UnixMs>(ms), std::move(value)});
   return {};
 }
 
--- a/tests/fleet/lease_actor.cpp
+++ b/tests/fleet/lease_actor.cpp
@@ -40,13 +40,19 @@
 
 long long Count(Steady::time_point moment) { return moment.time_since_epoch().count(); }
 
+fl::NodeOptions OptionsWith(const std::string& votes) {
+  fl::NodeOptions options;
+  options.votes = votes;
+  return options;
+}
+
 class Actor {
  public:
   Actor(asio::io_context& io, const fl::FleetSection& section, const std::string& name,
         const std::string& votes, unsigned short resource)
       : name_(name),
         random_(std::random_device()()),
-        node_(io, section, name, random_(), facts_, votes),
+        node_(io, section, name, random_(), facts_, OptionsWith(votes)),
         timer_(io),
         resource_(io) {
     resource_.connect(Tcp::endpoint(asio::ip::address_v4::loopback(), resource));
