Count a live guard's write after a newer token as two holders; lease the seven processes' ports

Cause: with a voter that ignores live leases built in, the test of seven processes passed: the resource refused the older holder's writes, so that their acts did not overlap. And it did not compile beside the leased ports.

Change: a write that comes before its deadline but after one with a larger token means that two held at once, and fails the test.

--- a/tests/fleet/lease_chaos_test.cpp
+++ b/tests/fleet/lease_chaos_test.cpp
@@ -35,6 +35,11 @@
     const std::lock_guard lock(mutex_);
     return written_;
   }
+  // Writes before their deadline, but after one with a larger token: two have held at once.
+  std::size_t Rivals() {
+    const std::lock_guard lock(mutex_);
+    return rivals_;
+  }
 
  private:
   void Serve(Tcp::socket& socket) {
@@ -52,7 +57,10 @@
     const std::lock_guard lock(mutex_);
     write.taken = Steady::now().time_since_epoch().count();
     if (write.taken >= deadline) return "past\n";
-    if (write.token < largest_) return "older\n";
+    if (write.token < largest_) {
+      ++rivals_;
+      return "older\n";
+    }
     largest_ = write.token;
     written_.push_back(std::move(write));
     return "taken\n";
@@ -61,12 +69,13 @@
   std::mutex mutex_;
   std::vector<Written> written_;
   Token largest_ = 0;
+  std::size_t rivals_ = 0;
   Listener listener_;
 };
 
 class Chaos {
  public:
-  explicit Chaos(unsigned seed) : random_(seed), binds_(FreeUdpPorts(kActors)), relay_(RELAY_PATH, Routes()) {
+  explicit Chaos(unsigned seed) : random_(seed), binds_(kActors), relay_(RELAY_PATH, Routes()) {
     std::printf("seed %u\n", seed);
     for (std::size_t i = 0; i < kActors; ++i) Start(i);
   }
@@ -93,6 +102,7 @@
     return false;
   }
   std::vector<Written> Writes() { return resource_.All(); }
+  std::size_t Rivals() { return resource_.Rivals(); }
   std::size_t Refused() {
     std::size_t refused = 0;
     for (auto& process : processes_)
@@ -106,13 +116,13 @@
   std::vector<std::string> Routes() const {
     std::vector<std::string> routes;
     for (std::size_t i = 0; i < kActors; ++i)
-      routes.push_back(Cluster::Name(i) + "=udp:127.0.0.1:0=" + Host(binds_[i]));
+      routes.push_back(Cluster::Name(i) + "=udp:127.0.0.1:0=" + Host(binds_[i].port()));
     return routes;
   }
   std::string VotesOf(std::size_t i) const { return folder_.path / (Cluster::Name(i) + ".votes"); }
   void Start(std::size_t i) {
     std::vector<std::string> args{"--name",      Cluster::Name(i),
-                                  "--bind",      Host(binds_[i]),
+                                  "--bind",      Host(binds_[i].port()),
                                   "--advertise", Host(relay_.Port(Cluster::Name(i))),
                                   "--votes",     VotesOf(i),
                                   "--resource",  std::to_string(resource_.port()),
@@ -155,7 +165,7 @@
     const std::size_t i = random_() % 2 == 0 ? last : random_() % kActors;
     const std::size_t other = (i + 1 + random_() % (kActors - 1)) % kActors;
     const auto lasts = Steady::now() + milliseconds(300 + random_() % 4000);
-    const std::string name = Cluster::Name(i), from = " from=" + Host(binds_[other]);
+    const std::string name = Cluster::Name(i), from = " from=" + Host(binds_[other].port());
     switch (random_() % 6) {
       case 0:
       case 1: {
@@ -189,7 +199,7 @@
   }
 
   std::mt19937 random_;
-  const std::vector<unsigned short> binds_;
+  const std::vector<LeasedPort> binds_;
   class Relay relay_;
   Folder folder_;
   Resource resource_;
@@ -222,6 +232,7 @@
   std::printf("\n");
   EXPECT_EQ(overlaps, 0u);
   EXPECT_EQ(stale, 0u);
+  EXPECT_EQ(chaos.Rivals(), 0u);
   EXPECT_GT(hand_offs, 0u) << "the faults must have reached the holders";
 }
 
