--- a/src/fleet/node/node.cpp
+++ b/src/fleet/node/node.cpp
@@ -157,11 +157,11 @@
 }
 
 bool Node::Does(const std::string& duty) const {
-  if (!leases_) {
-    const auto same = [&duty](const DutySpec& spec) { return spec.name == duty; };
-    const auto found = std::find_if(options_.duties.begin(), options_.duties.end(), same);
-    return !leased() || (found != options_.duties.end() && found->kind == DutyKind::kAvailable);
-  }
+  // An exclusive one never without a lease, though the address is not had yet.
+  const auto exclusive = [&](const DutySpec& each) {
+    return each.name == duty && each.kind == DutyKind::kExclusive;
+  };
+  if (!leases_) return !leased() || std::none_of(options_.duties.begin(), options_.duties.end(), exclusive);
   const Role role = leases_->role(Steady::now(), duty);
   return role == Role::kHolder || role == Role::kAlone;
 }
--- a/src/proxy/federation/spill_service.cpp
+++ b/src/proxy/federation/spill_service.cpp
@@ -147,7 +147,10 @@
 }
 
 void SpillService::Do(const spill::Log& action) {
-  log::Event(action.kind ? log::Level::kWarn : log::Level::kInfo, "spill", action.text);
+  if (action.kind)
+    log::Warn("spill", Failure(*action.kind, action.text));
+  else
+    log::Info("spill", action.text);
 }
 
 // ---- requests that come from others -------------------------------------------------------------------
--- a/src/spill/spill.cpp
+++ b/src/spill/spill.cpp
@@ -183,8 +183,7 @@
 
 void Spill::Judge(const Neighbour& neighbour, bool good) {
   if (!neighbours_.Answered(now_, neighbour, good)) return;
-  const Failure failure(kNeighbourLeft, neighbour.site + "/" + neighbour.gateway);
-  out_->push_back(Log{&kNeighbourLeft, failure.Text()});
+  out_->push_back(Log{&kNeighbourLeft, neighbour.site + "/" + neighbour.gateway});
 }
 
 void Spill::UpdateShares() {
@@ -207,7 +206,8 @@
 void Spill::Complain(const Failure& failure) {
   if (now_ < next_complaint_) return;
   next_complaint_ = now_ + kLogGap;
-  out_->push_back(Log{&failure.kind(), failure.Text()});
+  const std::string detail = failure.detail().empty() ? "" : " (" + failure.detail() + ")";
+  out_->push_back(Log{&failure.kind(), failure.where() + detail});
 }
 
 void Spill::ReportState() {
--- a/src/spill/spill.h
+++ b/src/spill/spill.h
@@ -80,7 +80,7 @@
   Span retry_after{0};        // 0: no advice
   Why why = Why::kNoShare;
 };
-// One decision that changes who serves what, or a fault; `kind` is set where an operator may have to act.
+// One decision that changes who serves what; or, with `kind` set, a fault, and `text` is what it is about.
 struct Log {
   const FailureKind* kind = nullptr;
   std::string text;
