Split the proxy into parts with one concern each, behaviour unchanged

proxy.cpp held the module's queue and timers, requests, lists, limits, the fleet's duties, recovery, operators' calls and the federation's glue in one class of 864 lines. Each is now a class that owns its own state, in core/, fleet_link/, recovery/, desk/ and federation/link; Proxy makes them and joins them (129 lines; the largest part has 141).

No virtual call or allocation was added for a request; one virtual call (the answer to what is refused) went.

--- /dev/null
+++ b/src/proxy/core/door.cpp
@@ -0,0 +1,90 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "core/door.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "clients.h"
+#include "clock.h"
+#include "core/server_directory.h"
+#include "overlap.h"
+
+namespace brackenspoke::proxy {
+namespace {
+
+constexpr Duration kStopGrace{600};  // connections go on coming for up to 400 ms after SIGTERM
+// A request may be on its way to what stands idle; beside another process there is time to let it come.
+constexpr Duration kStopIdle{500}, kReplacedIdle{2000};
+constexpr Duration kReplacedGrace{50};  // none come where another process takes them
+constexpr Duration kLongestToEnd{3000}, kEndMargin{700};
+constexpr std::chrono::seconds kFreshList{3};  // what a second process waits for discovery
+
+// When SIGKILL may follow SIGTERM.
+Duration TimeToEnd(const Settings& settings) {
+  Duration longest{0};
+  for (const ClassSettings& c : settings.classes) longest = std::max(longest, c.deadline);
+  return std::min(longest, kLongestToEnd) + kEndMargin;
+}
+
+}  // namespace
+
+Door::Door(boost::asio::io_context& io, Clients& clients, Overlap& overlap, const ServerDirectory& servers)
+    : clients_(clients), overlap_(overlap), servers_(servers), timer_(io) {}
+
+void Door::Begin() {
+  if (overlap_.processes() == 1) {
+    clients_.Open();
+    return overlap_.Listening();
+  }
+  timer_.expires_after(kFreshList);
+  timer_.async_wait([this](const boost::system::error_code& cancelled) {
+    if (!cancelled) OnList();
+  });
+}
+
+void Door::OnList() {
+  if (!clients_.Listening()) OpenWhenListed();
+}
+
+// Beside another process of this proxy, its clients are not to notice this one before it has fresh news.
+void Door::OpenWhenListed() {
+  if (!servers_.AnyListed() || clients_.Stopping()) return;
+  clients_.Open();
+  overlap_.Listening();
+  Tell();
+}
+
+bool Door::Taking() const { return servers_.AnyListed() && clients_.Listening() && !clients_.Draining(); }
+
+bool Door::Open() const { return Taking() || (clients_.Stopping() && overlap_.OtherTakes()); }
+
+void Door::Tell() { overlap_.SetTaking(Taking()); }
+
+void Door::Drain() {
+  clients_.Drain();
+  overlap_.SetTaking(false);
+}
+
+void Door::Rejoin() {
+  clients_.Rejoin();
+  Tell();
+}
+
+void Door::Stop(const Settings& settings, std::function<void()> done) {
+  const bool replaced = overlap_.OtherTakes();
+  if (replaced) clients_.Steer(overlap_.OtherIsLater() ? 1 : 0);
+  clients_.Stop(replaced ? kReplacedGrace : kStopGrace, replaced ? kReplacedIdle : kStopIdle,
+                Steady::now() + std::chrono::duration_cast<Steady::duration>(TimeToEnd(settings)),
+                std::move(done));
+  overlap_.SetTaking(false);
+}
+
+Door::State Door::state() const {
+  if (clients_.Stopping()) return State::kStopping;
+  if (clients_.Draining()) return State::kDraining;
+  if (!servers_.AnyListed()) return State::kUnlisted;
+  return clients_.Listening() ? State::kTaking : State::kStarting;
+}
+
+}  // namespace brackenspoke::proxy
--- /dev/null
+++ b/src/proxy/core/limits.cpp
@@ -0,0 +1,53 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "core/limits.h"
+
+#include <algorithm>
+
+#include "backends.h"
+#include "clients.h"
+#include "federation/link.h"
+#include "overlap.h"
+
+namespace brackenspoke::proxy {
+namespace {
+
+// Descriptors: what is neither a client's nor a backend's, and the clients' part of the rest.
+constexpr int kOtherDescriptors = 40;
+constexpr double kClientShare = 0.6;
+constexpr double kLeastShare = 8;
+
+// What others leave of a limit, and a little: nobody is shut out for good.
+std::size_t Rest(double limit, std::size_t others) {
+  return static_cast<std::size_t>(std::max(limit - static_cast<double>(others), kLeastShare));
+}
+
+}  // namespace
+
+double Limits::Descriptors(int processes) const {
+  return std::max(sockets_ - kOtherDescriptors * processes, sockets_ / 4);
+}
+
+void Limits::Publish() const {
+  overlap_.Publish({clients_.connections(), backends_.connections(), buffers_.held()});
+}
+
+std::size_t Limits::MostClients() const {
+  Publish();
+  return Rest(Descriptors(overlap_.processes()) * kClientShare, overlap_.Others().clients);
+}
+
+std::size_t Limits::MostBackends() const {
+  Publish();
+  return Rest(Descriptors(overlap_.processes()) * (1 - kClientShare),
+              overlap_.Others().backends + federation_.connections());
+}
+
+void Limits::Share(int processes) {
+  Publish();
+  if (processes == 1) return;
+  const double fair = Descriptors(processes) / processes;
+  clients_.Shrink(static_cast<std::size_t>(fair * kClientShare));
+  backends_.Shrink(static_cast<std::size_t>(fair * (1 - kClientShare)));
+}
+
+}  // namespace brackenspoke::proxy
--- /dev/null
+++ b/src/proxy/core/module_driver.cpp
@@ -0,0 +1,88 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "core/module_driver.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "core/actions.h"
+
+namespace brackenspoke::proxy {
+namespace {
+
+constexpr TimePoint kUnarmed{Duration(1e300)};
+
+}  // namespace
+
+ModuleDriver::ModuleDriver(boost::asio::io_context& io, const Settings& settings, std::uint64_t seed,
+                           Actions& actions)
+    : actions_(actions), balancer_(settings, seed), armed_for_(kUnarmed), timer_(io) {}
+
+// The only caller of Handle. An action may bring about an event at once: it waits its turn here, so that
+// Handle is never entered while its actions are being carried out.
+void ModuleDriver::Feed(Event event) {
+  // News of the list go before what waits: a request must not be sent by an older list than has been told.
+  if (std::holds_alternative<ListUpdate>(event)) {
+    const auto first_other = std::find_if(events_.begin(), events_.end(), [](const Event& e) {
+      return !std::holds_alternative<ListUpdate>(e);
+    });
+    events_.insert(first_other, std::move(event));
+  } else {
+    events_.push_back(std::move(event));
+  }
+  if (handling_) return;
+  // Guards against a fault while actions are carried out leaving the proxy deaf: the next event goes on.
+  struct Handling {
+    explicit Handling(bool& flag) : flag(flag) { flag = true; }
+    ~Handling() { flag = false; }
+    bool& flag;
+  };
+  {
+    const Handling handling(handling_);
+    HandleQueued();
+  }
+  ArmTimer();
+}
+
+void ModuleDriver::HandleQueued() {
+  std::vector<Action> actions;
+  while (!events_.empty()) {
+    const Event next = std::move(events_.front());
+    events_.pop_front();
+    actions.clear();
+    balancer_.Handle(clock_.Now(), next, &actions);
+    for (const Action& action : actions) {
+      if (const auto* timer = std::get_if<SetTimer>(&action)) {
+        timers_.emplace(timer->at, timer->token);
+      } else {
+        actions_.CarryOut(action);
+      }
+    }
+  }
+}
+
+// Guards against a timer that the module thinks has not come yet: rounding may wake this a moment early, and
+// the module would not ask again.
+void ModuleDriver::ArmTimer() {
+  if (timers_.empty() || timers_.begin()->first >= armed_for_) return;
+  armed_for_ = timers_.begin()->first;
+  timer_.expires_at(clock_.ToSteady(timers_.begin()->first));
+  timer_.async_wait([this](const boost::system::error_code& cancelled) {
+    if (cancelled) return;
+    armed_for_ = kUnarmed;
+    while (!timers_.empty() && timers_.begin()->first <= clock_.Now()) {
+      const std::uint64_t token = timers_.begin()->second;
+      timers_.erase(timers_.begin());
+      Feed(TimerFired{token});
+    }
+    ArmTimer();
+  });
+}
+
+double ModuleDriver::MeanWork() const {
+  const Pace pace = Learnt();
+  return pace.answers_per_ms > 0 ? pace.work_per_ms / pace.answers_per_ms : 1;
+}
+
+}  // namespace brackenspoke::proxy
--- /dev/null
+++ b/src/proxy/core/module_driver.h
@@ -0,0 +1,54 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// The Balancer on this machine's clock: events one after the other, its timers, its actions to who carries
+// them out.
+#ifndef BRACKENSPOKE_PROXY_CORE_MODULE_DRIVER_H_
+#define BRACKENSPOKE_PROXY_CORE_MODULE_DRIVER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <deque>
+#include <map>
+
+#include "brackenspoke/balancer.h"
+#include "clock.h"
+
+namespace brackenspoke::proxy {
+
+class Actions;
+
+class ModuleDriver {
+ public:
+  // `actions` outlives this, and is not called before the first Feed.
+  ModuleDriver(boost::asio::io_context& io, const Settings& settings, std::uint64_t seed, Actions& actions);
+  ModuleDriver(const ModuleDriver&) = delete;
+  ModuleDriver& operator=(const ModuleDriver&) = delete;
+
+  // Carries out what the module makes of the event before it returns; from within an action, soon after.
+  void Feed(Event event);
+
+  const ModuleClock& clock() const { return clock_; }
+  TimePoint Now() const { return clock_.Now(); }
+  Pace Learnt() const { return balancer_.Learnt(); }
+  // Of a request without a hint, in ms on a standard core: the mean of those answered.
+  double MeanWork() const;
+  brackenspoke::Spare Spare() const { return balancer_.Spare(Now()); }
+
+ private:
+  void HandleQueued();
+  void ArmTimer();
+
+  ModuleClock clock_;
+  Actions& actions_;
+  Balancer balancer_;
+  std::deque<Event> events_;
+  bool handling_ = false;
+  std::multimap<TimePoint, std::uint64_t> timers_;
+  TimePoint armed_for_;
+  boost::asio::steady_timer timer_;
+};
+
+}  // namespace brackenspoke::proxy
+
+#endif  // BRACKENSPOKE_PROXY_CORE_MODULE_DRIVER_H_
--- /dev/null
+++ b/src/proxy/core/requests.cpp
@@ -0,0 +1,141 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "core/requests.h"
+
+#include <algorithm>
+#include <cmath>
+#include <string>
+#include <utility>
+
+#include "core/module_driver.h"
+#include "core/server_directory.h"
+#include "federation/link.h"
+#include "fleet_link/fleet_link.h"
+
+namespace brackenspoke::proxy {
+
+RequestId Requests::OnRequest(ClientRequest&& request, std::shared_ptr<Responder>&& responder) {
+  const RequestId id = pending_.NextId();
+  const ModuleClock& clock = module_.clock();
+  Submit submit;
+  submit.request = id;
+  submit.due = clock.At(request.due);
+  submit.request_class = request.request_class;
+  submit.tenant = request.tenant;
+  submit.key = request.key;
+  submit.has_hint = request.has_hint;
+  submit.client_retry = request.client_retry;
+  submit.work_ms = request.work_ms;
+  submit.uploading = request.body != nullptr;
+  Pending pending;
+  if (!federation_.Admit(request, *responder, &pending, &submit)) return id;
+  pending.message = std::make_shared<const HttpRequest>(std::move(request.message));
+  pending.hold = std::move(request.hold);
+  pending.key = request.key;
+  pending.body = std::move(request.body);
+  pending.config = std::move(request.config);
+  pending.due = request.due;
+  pending.responder = std::move(responder);
+  pending.submit = submit;
+  pending.came = clock.Now();
+  pending_.Open(id, std::move(pending));
+  module_.Feed(submit);
+  return id;
+}
+
+void Requests::OnUploaded(RequestId request, Steady::time_point due) {
+  Pending* const pending = pending_.Find(request);
+  if (!pending) return;
+  pending->due = due;
+  pending->sent_at = Steady::now();
+  module_.Feed(Uploaded{request, module_.clock().At(due)});
+}
+
+void Requests::OnClientGone(RequestId request) {
+  if (!pending_.Conclude(request)) return;
+  federation_.CreditIfNotRun(*pending_.Find(request), false);
+  pending_.ForgetIfOver(request);
+  federation_.Gone(request);
+  module_.Feed(ClientGone{request});
+}
+
+void Requests::Do(const Dispatch& action) {
+  Pending* const pending = pending_.Find(action.request);
+  const auto now = Steady::now();
+  // Numbered by the order of their Dispatch; one that cannot go out is over at once, and never ran.
+  const int attempt = pending ? pending->attempts++ : 0;
+  if (!pending || !pending->responder || pending->attempt_out || now >= pending->due ||
+      attempt >= pending->config->settings.max_attempts) {
+    AttemptEnded end;
+    end.request = action.request;
+    end.attempt = attempt;
+    end.server = action.server;
+    end.settled = !pending || !pending->responder;
+    end.outcome = Outcome::kMoot;
+    return module_.Feed(end);
+  }
+  pending->attempt_out = true;
+  pending->sent_at = now;
+  Duration timeout = pending->due - now;
+  if (action.timeout.count() != 0) timeout = std::clamp(action.timeout, Duration(0), timeout);
+  Outgoing out;
+  out.head = pending->message->base();
+  out.head.set("Req-Deadline-Ms", std::to_string(static_cast<long long>(std::ceil(timeout.count()))));
+  out.whole = {pending->message, &pending->message->body()};
+  out.body = pending->body;
+  AttemptEvents events;
+  events.begun = [this, id = action.request, attempt](AnswerHead head) {
+    OnAttemptBegun(id, attempt, std::move(head));
+  };
+  events.done = [this, id = action.request, attempt, server = action.server](AttemptResult result) {
+    OnAttemptDone(id, attempt, server, std::move(result));
+  };
+  if (pending->key != 0 && fleet_.node())
+    fleet_.node()->Tell(fleet::KeySite{pending->key, servers_.numbers().IdOf(action.server)});
+  backends_.Send(action.server, std::move(out), timeout, std::move(events));
+}
+
+void Requests::Do(const Refuse& action) {
+  if (!federation_.Spill(action.request, action.retry_after))
+    federation_.Refuse(action.request, action.retry_after);
+}
+
+void Requests::Do(const Fail& action) {
+  if (const auto responder = pending_.Conclude(action.request)) {
+    federation_.CreditIfNotRun(*pending_.Find(action.request), false);
+    responder->Failed();
+  }
+  pending_.ForgetIfOver(action.request);
+}
+
+void Requests::OnAttemptBegun(RequestId request, int attempt, AnswerHead head) {
+  const auto responder = pending_.Conclude(request);
+  if (!responder) return head.body->Abandon();
+  Pending& pending = *pending_.Find(request);
+  pending.first_bytes = Steady::now() - pending.sent_at;
+  module_.Feed(StreamStarted{request, attempt});
+  responder->Begun(std::move(head));
+}
+
+void Requests::OnAttemptDone(RequestId request, int attempt, ServerId server, AttemptResult result) {
+  AttemptEnded end;
+  end.request = request;
+  end.attempt = attempt;
+  end.server = server;
+  end.outcome = result.outcome;
+  Pending* const pending = pending_.Find(request);
+  if (pending) {
+    pending->attempt_out = false;
+    const bool passed_on = pending->first_bytes.count() > 0;
+    end.took = passed_on ? pending->first_bytes : Duration(Steady::now() - pending->sent_at);
+    end.repeatable = !pending->body || !pending->body->Spent();
+  }
+  if (result.outcome == Outcome::kOk) {
+    if (const auto responder = pending_.Conclude(request))
+      responder->Served(std::move(result.response), std::move(result.hold));
+  }
+  end.settled = !pending || !pending->responder;
+  pending_.ForgetIfOver(request);
+  module_.Feed(end);
+}
+
+}  // namespace brackenspoke::proxy
--- /dev/null
+++ b/src/proxy/core/requests.h
@@ -0,0 +1,60 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// The life of a request, from its client's last word to its one answer, and its attempts between.
+#ifndef BRACKENSPOKE_PROXY_CORE_REQUESTS_H_
+#define BRACKENSPOKE_PROXY_CORE_REQUESTS_H_
+
+#include <memory>
+
+#include "backends.h"
+#include "brackenspoke/balancer.h"
+#include "clients.h"
+#include "core/pending.h"
+#include "request.h"
+
+namespace brackenspoke::proxy {
+
+class FederationLink;
+class FleetLink;
+class ModuleDriver;
+class ServerDirectory;
+
+class Requests {
+ public:
+  // All that is given outlives the last call; it need not be made yet.
+  Requests(ModuleDriver& module, PendingRequests& pending, const ServerDirectory& servers, Backends& backends,
+           FleetLink& fleet, FederationLink& federation)
+      : module_(module),
+        pending_(pending),
+        servers_(servers),
+        backends_(backends),
+        fleet_(fleet),
+        federation_(federation) {}
+  Requests(const Requests&) = delete;
+  Requests& operator=(const Requests&) = delete;
+
+  // As the clients' side tells (RequestHandler).
+  RequestId OnRequest(ClientRequest&& request, std::shared_ptr<Responder>&& responder);
+  void OnUploaded(RequestId request, Steady::time_point due);
+  void OnClientGone(RequestId request);
+
+  // What the module has decided.
+  void Do(const Dispatch& action);
+  void Do(const Refuse& action);
+  void Do(const Fail& action);
+
+ private:
+  void OnAttemptBegun(RequestId request, int attempt, AnswerHead head);
+  void OnAttemptDone(RequestId request, int attempt, ServerId server, AttemptResult result);
+
+  ModuleDriver& module_;
+  PendingRequests& pending_;
+  const ServerDirectory& servers_;
+  Backends& backends_;
+  FleetLink& fleet_;
+  FederationLink& federation_;
+};
+
+}  // namespace brackenspoke::proxy
+
+#endif  // BRACKENSPOKE_PROXY_CORE_REQUESTS_H_
--- /dev/null
+++ b/src/proxy/core/server_directory.cpp
@@ -0,0 +1,67 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "core/server_directory.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "backends.h"
+#include "core/module_driver.h"
+#include "recovery/own_verdicts.h"
+
+namespace brackenspoke::proxy {
+
+ServerDirectory::ServerDirectory(std::vector<std::string> zones, std::vector<std::string> kinds,
+                                 ModuleDriver& module, Backends& backends, OwnVerdicts& verdicts)
+    : zones_(std::move(zones)),
+      kinds_(std::move(kinds)),
+      module_(module),
+      backends_(backends),
+      verdicts_(verdicts) {}
+
+void ServerDirectory::Take(const MemberList& list, ListKind kind) {
+  numbers_.Learn(list.members);
+  if (kind != ListKind::kDelta) {
+    std::unordered_set<ServerId> named;
+    for (const Member& m : list.members) named.insert(numbers_.Of(m.id));
+    backends_.RetireOthers(named);
+    in_list_.clear();
+  }
+  ListUpdate update;
+  update.kind = kind;
+  for (const Member& m : list.members) {
+    if (m.state == ServerState::kGone)
+      in_list_.erase(m.id);
+    else
+      in_list_.insert(m.id);
+    const ServerEntry& entry = update.entries.emplace_back(Entry(m));
+    if (m.state == ServerState::kReady) {
+      backends_.Set(entry.server, m.address, m.up_since_unix_ms);
+    } else {
+      backends_.Retire(entry.server);
+    }
+  }
+  listed_ |= !list.members.empty();
+  module_.Feed(std::move(update));
+  verdicts_.Restore(*this);
+}
+
+ServerEntry ServerDirectory::Entry(const Member& member) const {
+  ServerEntry entry;
+  entry.server = numbers_.Of(member.id);
+  entry.zone = ZoneOf(member.zone);
+  entry.kind = static_cast<int>(std::find(kinds_.begin(), kinds_.end(), member.kind) - kinds_.begin());
+  entry.cell = member.cell;
+  entry.state = member.state;
+  entry.weight = member.weight;
+  entry.up_since = module_.clock().FromUnix(member.up_since_unix_ms);
+  return entry;
+}
+
+// A zone that the settings don't name is a zone of its own, none of those that they do.
+int ServerDirectory::ZoneOf(const std::string& name) const {
+  const auto found = std::find(zones_.begin(), zones_.end(), name);
+  if (found != zones_.end()) return static_cast<int>(found - zones_.begin());
+  return static_cast<int>(0x10000 + (StableHash(name) & 0x3fffffff));
+}
+
+}  // namespace brackenspoke::proxy
--- /dev/null
+++ b/src/proxy/core/server_directory.h
@@ -0,0 +1,54 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// What lists say of servers, for the module and for the connections.
+#ifndef BRACKENSPOKE_PROXY_CORE_SERVER_DIRECTORY_H_
+#define BRACKENSPOKE_PROXY_CORE_SERVER_DIRECTORY_H_
+
+#include <string>
+#include <unordered_set>
+#include <vector>
+
+#include "brackenspoke/balancer.h"
+#include "members.h"
+
+namespace brackenspoke::proxy {
+
+class Backends;
+class ModuleDriver;
+class OwnVerdicts;
+
+class ServerDirectory {
+ public:
+  // `zones` and `kinds` are the settings' names. All else outlives the last call; it need not be made yet.
+  ServerDirectory(std::vector<std::string> zones, std::vector<std::string> kinds, ModuleDriver& module,
+                  Backends& backends, OwnVerdicts& verdicts);
+  ServerDirectory(const ServerDirectory&) = delete;
+  ServerDirectory& operator=(const ServerDirectory&) = delete;
+
+  void Take(const MemberList& list, ListKind kind);
+
+  // Some list has had a server.
+  bool AnyListed() const { return listed_; }
+  // In discovery's list now.
+  bool Listed(const std::string& server) const { return in_list_.contains(server); }
+
+  const ServerNumbers& numbers() const { return numbers_; }
+  // Numbers servers that no list has named yet.
+  void Learn(std::vector<std::string> ids) { numbers_.Learn(std::move(ids)); }
+
+ private:
+  ServerEntry Entry(const Member& member) const;
+  int ZoneOf(const std::string& name) const;
+
+  const std::vector<std::string> zones_, kinds_;
+  ModuleDriver& module_;
+  Backends& backends_;
+  OwnVerdicts& verdicts_;
+  ServerNumbers numbers_;
+  std::unordered_set<std::string> in_list_;
+  bool listed_ = false;
+};
+
+}  // namespace brackenspoke::proxy
+
+#endif  // BRACKENSPOKE_PROXY_CORE_SERVER_DIRECTORY_H_
--- /dev/null
+++ b/src/proxy/desk/operators_desk.cpp
@@ -0,0 +1,87 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "desk/operators_desk.h"
+
+#include <string>
+#include <utility>
+
+#include "core/door.h"
+#include "federation/link.h"
+#include "fleet_link/fleet_link.h"
+#include "fleet_link/maintenance_duty.h"
+#include "proxy/failures.h"
+
+namespace brackenspoke::proxy {
+namespace {
+
+OperatorReply StoppingNow() { return OperatorReply::No(Failure(kStopping, "stopping")); }
+OperatorReply TakingClients() { return OperatorReply::Yes("taking clients"); }
+
+}  // namespace
+
+void OperatorsDesk::OnCall(const OperatorCall& call, OnReply reply) {
+  switch (call.verb) {
+    case OperatorCall::Verb::kPing:
+      return reply(Ping());
+    case OperatorCall::Verb::kLameduck:
+      return reply(Lameduck());
+    case OperatorCall::Verb::kRejoin:
+      return reply(Rejoin());
+    case OperatorCall::Verb::kMembers:
+    case OperatorCall::Verb::kState:
+    case OperatorCall::Verb::kLeases:
+      return reply(AskFleet(call.verb));
+    case OperatorCall::Verb::kDetach:
+    case OperatorCall::Verb::kAttach:
+      return maintenance_.Change(call, std::move(reply));
+  }
+}
+
+OperatorReply OperatorsDesk::Ping() {
+  door_.Tell();
+  switch (door_.state()) {
+    case Door::State::kStopping:
+      return StoppingNow();
+    case Door::State::kDraining:
+      return OperatorReply::No(Failure(kDraining, "draining"));
+    case Door::State::kUnlisted:
+      return OperatorReply::No(Failure(kNotServing, "no server known yet"));
+    case Door::State::kStarting:
+      return OperatorReply::No(Failure(kNotServing, "starting"));
+    case Door::State::kTaking:
+      break;
+  }
+  return TakingClients();
+}
+
+OperatorReply OperatorsDesk::Lameduck() {
+  door_.Drain();
+  if (fleet_.node()) fleet_.node()->Leave();
+  if (federation_.federation()) federation_.federation()->Leave();
+  return OperatorReply::Yes("draining");
+}
+
+OperatorReply OperatorsDesk::Rejoin() {
+  if (door_.state() == Door::State::kStopping) return StoppingNow();
+  if (fleet_.node()) fleet_.node()->Rejoin();
+  if (federation_.federation()) federation_.federation()->Rejoin();
+  door_.Rejoin();
+  return TakingClients();
+}
+
+OperatorReply OperatorsDesk::AskFleet(OperatorCall::Verb verb) {
+  fleet::Node* const node = fleet_.node();
+  Federation* const sites = federation_.federation();
+  if (!node) return OperatorReply::No(Failure(kNoFleet, "no fleet"));
+  const auto with = [](std::string line, const std::string& more) {
+    return more.empty() ? line : std::move(line) + (line.empty() ? "" : "; ") + more;
+  };
+  if (verb == OperatorCall::Verb::kMembers)
+    return OperatorReply::Yes(with(node->Describe(), sites ? sites->Members() : ""));
+  if (verb == OperatorCall::Verb::kState)
+    return OperatorReply::Yes(with(node->DescribeState(), sites ? sites->State() : ""));
+  const std::string leases = with(node->DescribeLeases(), sites ? sites->Leases() : "");
+  if (leases.empty()) return OperatorReply::No(Failure(kNoFleet, "no leases"));
+  return OperatorReply::Yes(leases);
+}
+
+}  // namespace brackenspoke::proxy
--- /dev/null
+++ b/src/proxy/federation/link.cpp
@@ -0,0 +1,103 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "federation/link.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "core/module_driver.h"
+
+namespace brackenspoke::proxy {
+
+void FederationLink::Begin(boost::asio::io_context& io, const Config& config, const std::string& votes,
+                           fleet::Node* site, std::function<std::size_t()> backends, Buffers& buffers) {
+  if (!config.sites.on) return;
+  const auto connections = [backends = std::move(backends)] {
+    return std::max<std::size_t>(8, backends() / 4);
+  };
+  federation_ = std::make_unique<Federation>(io, config, votes, *site, connections, buffers,
+                                             static_cast<SpillHost&>(*this));
+  if (config.spill.on) module_.Feed(SpillShare{config.spill.options.most_part});
+}
+
+bool FederationLink::Admit(const ClientRequest& request, Responder& responder, Pending* pending,
+                           Submit* submit) {
+  submit->spilled = request.spilled;
+  if (!federation_ || request.spilled || request.config->tenants.empty()) return true;
+  const std::string& owner = request.config->tenants[static_cast<std::size_t>(request.tenant)];
+  const auto charged = federation_->Charge(owner, request.has_hint ? request.work_ms : module_.MeanWork());
+  pending->ticket = charged.ticket;
+  if (charged.verdict != quota::Verdict::kUnknown)
+    submit->share = charged.verdict == quota::Verdict::kInside ? Share::kInside : Share::kOver;
+  if (charged.verdict != quota::Verdict::kOver || charged.over != quota::Over::kRefuse) return true;
+  const Duration most = request.config->settings.max_retry_after;
+  responder.OverBudget(std::min(most, Duration(charged.retry_after)));
+  return false;
+}
+
+void FederationLink::CreditIfNotRun(const Pending& pending, bool proven) {
+  if (federation_ && (proven || pending.attempts == 0)) federation_->Credit(pending.ticket);
+}
+
+bool FederationLink::Spill(RequestId request, Duration retry_after) {
+  if (!spill()) return false;
+  const Pending* const pending = pending_.Find(request);
+  if (!pending || !pending->responder || pending->body || pending->attempt_out) return false;
+  const ClassSettings& rules = pending->config->settings.classes[pending->submit.request_class];
+  const auto span = [](Duration d) { return std::chrono::duration_cast<Span>(d); };
+  const TimePoint now = module_.Now();
+  spill::Refused refused;
+  refused.request = request;
+  refused.effect = rules.effect;
+  refused.aim_left = span(pending->came + rules.aim - now);
+  refused.deadline_left = pending->due - Steady::now();
+  refused.work_ms = pending->submit.has_hint ? pending->submit.work_ms : module_.MeanWork();
+  refused.worth = rules.worth;
+  refused.key = pending->key;
+  refused.within_budget = pending->submit.share != Share::kOver;
+  refused.spilled = pending->submit.spilled;
+  refused.retry_after = span(retry_after);
+  spill()->Offer(refused, pending->message);
+  return true;
+}
+
+void FederationLink::Refuse(RequestId request, Duration retry_after) {
+  if (const auto responder = pending_.Conclude(request)) {
+    CreditIfNotRun(*pending_.Find(request), true);
+    responder->Refused(retry_after);
+  }
+  pending_.ForgetIfOver(request);
+}
+
+void FederationLink::Gone(RequestId request) {
+  if (spill()) spill()->Gone(request);
+}
+
+bool FederationLink::TakeMark(HttpRequest* message, const boost::asio::ip::address& peer) {
+  return spill() && spill()->TakeMark(message, peer);
+}
+
+std::string FederationLink::EstimateText() const { return spill() ? spill()->EstimateText() : ""; }
+
+std::size_t FederationLink::connections() const { return spill() ? spill()->connections() : 0; }
+
+brackenspoke::Spare FederationLink::SpareNow() const { return module_.Spare(); }
+
+void FederationLink::OnSpillBegun(RequestId request, AnswerHead head) {
+  const auto responder = pending_.Conclude(request);
+  responder ? responder->Begun(std::move(head)) : head.body->Abandon();
+  pending_.ForgetIfOver(request);
+}
+
+void FederationLink::OnSpillServed(RequestId request, HttpResponse answer, Buffers::Hold hold) {
+  if (const auto responder = pending_.Conclude(request))
+    responder->Served(std::move(answer), std::move(hold));
+  pending_.ForgetIfOver(request);
+}
+
+void FederationLink::OnSpillFailed(RequestId request) {
+  if (const auto responder = pending_.Conclude(request)) responder->Failed();
+  pending_.ForgetIfOver(request);
+}
+
+}  // namespace brackenspoke::proxy
--- /dev/null
+++ b/src/proxy/fleet_link/discovery_duty.cpp
@@ -0,0 +1,110 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "fleet_link/discovery_duty.h"
+
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <unordered_set>
+
+#include "base/log.h"
+#include "core/door.h"
+#include "core/module_driver.h"
+#include "core/server_directory.h"
+#include "fleet/failures.h"
+#include "fleet_link/fleet_link.h"
+
+namespace brackenspoke::proxy {
+namespace {
+
+constexpr std::chrono::hours kFactLasts{12};  // of what the holder makes known, unless it is renewed
+
+Discovery::Options OptionsOf(const Config& config) {
+  Discovery::Options options;
+  options.address = config.discovery;
+  options.revision = config.known.revision;
+  options.reconnect =
+      config.settings.must_ask_for_list ? Discovery::Reconnect::kWhenAsked : Discovery::Reconnect::kByItself;
+  options.seed = config.seed;
+  return options;
+}
+
+}  // namespace
+
+DiscoveryDuty::DiscoveryDuty(boost::asio::io_context& io, const Config& config, ModuleDriver& module,
+                             ServerDirectory& servers, Door& door, FleetLink& fleet)
+    : module_(module),
+      servers_(servers),
+      door_(door),
+      fleet_(fleet),
+      discovery_(
+          io, OptionsOf(config), [this](const MemberList& list) { OnNews(list); },
+          [this] {
+            module_.Feed(ListUpdate{ListKind::kFailed, {}});
+          }) {}
+
+void DiscoveryDuty::Watch() {
+  if (fleet_.node()) discovery_.SetToken(fleet_.node()->HeldToken(fleet::kDiscoveryDuty));
+  discovery_.Watch();
+}
+
+void DiscoveryDuty::Subscribe() {
+  if (fleet_.Does(fleet::kDiscoveryDuty)) return Watch();
+  module_.Feed(ListUpdate{ListKind::kDelta, {}});  // the holder has subscribed
+}
+
+void DiscoveryDuty::Know(const std::vector<Member>& members) {
+  for (const Member& member : members) known_[member.id] = member;
+}
+
+// A new holder says everything anew, under its own token.
+void DiscoveryDuty::OnRole() {
+  if (!fleet_.Does(fleet::kDiscoveryDuty)) return discovery_.Pause();
+  for (const auto& [id, member] : known_) Publish(id);
+  Watch();
+}
+
+void DiscoveryDuty::OnFact(const fleet::DutyFact& fact) {
+  std::string why;
+  const auto list = ParseMembers(fact.value, &why);
+  if (!list || list->complete)
+    return log::Warn("fleet", Failure(fleet::kBadListEntry, "no entry of a list from the holder: " + why));
+  servers_.Take(*list, ListKind::kDelta);
+  Know(list->members);
+  door_.OnList();
+}
+
+// From discovery itself.
+void DiscoveryDuty::OnNews(const MemberList& list) {
+  if (!fleet_.Does(fleet::kDiscoveryDuty)) return discovery_.Pause();
+  servers_.Take(list, list.complete ? ListKind::kFull : ListKind::kDelta);
+  Record(list);
+  door_.OnList();
+}
+
+// What the fleet is to be told: the entries that changed, and as gone those that a complete list lacks.
+void DiscoveryDuty::Record(const MemberList& list) {
+  if (!fleet_.node()) return;
+  revision_ = list.revision;
+  std::unordered_set<std::string> named;
+  for (const Member& member : list.members) {
+    named.insert(member.id);
+    known_[member.id] = member;
+    Publish(member.id);
+  }
+  if (!list.complete) return;
+  for (auto& [id, member] : known_) {
+    if (named.contains(id) || member.state == ServerState::kGone) continue;
+    member.state = ServerState::kGone;
+    Publish(id);
+  }
+}
+
+void DiscoveryDuty::Publish(const std::string& id) {
+  const auto guard = fleet_.node()->Guard(fleet::kDiscoveryDuty);
+  if (!guard) return;
+  const auto published = fleet_.node()->Publish(
+      *guard, "server/" + id,
+      {{"revision", revision_}, {"members", nlohmann::json::array({ToJson(known_.at(id))})}}, kFactLasts);
+  if (!published) log::Warn("fleet", published.error());
+}
+
+}  // namespace brackenspoke::proxy
--- /dev/null
+++ b/src/proxy/fleet_link/fleet_link.cpp
@@ -0,0 +1,71 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "fleet_link/fleet_link.h"
+
+#include <utility>
+#include <vector>
+
+#include "core/module_driver.h"
+#include "core/server_directory.h"
+#include "federation/spill_service.h"
+#include "fleet_link/discovery_duty.h"
+#include "fleet_link/maintenance_duty.h"
+#include "members.h"
+#include "recovery/recovery.h"
+
+namespace brackenspoke::proxy {
+namespace {
+
+// Those of the site's fleet.
+std::vector<fleet::DutySpec> DutiesOf(const Config& config) {
+  auto duties = fleet::SiteDuties();
+  if (config.spill.on)
+    duties.push_back({SpillService::DutyOf(config.sites.site), fleet::DutyKind::kExclusive});
+  return duties;
+}
+
+}  // namespace
+
+void FleetLink::Begin(boost::asio::io_context& io, const Config& config, const std::string& votes) {
+  if (!config.fleet.on) return;
+  const std::uint64_t seed = config.seed ^ StableHash(config.name);
+  discovery_.Know(config.known.members);
+  fleet::NodeOptions options;
+  options.duties = DutiesOf(config);
+  options.votes = votes;
+  node_ = std::make_unique<fleet::Node>(io, config.fleet, config.name, seed,
+                                        static_cast<fleet::Facts&>(*this), std::move(options));
+}
+
+bool FleetLink::Listed(const std::string& server) const { return servers_.Listed(server); }
+
+// Advice: the module weighs it like any event.
+void FleetLink::OnVerdict(const fleet::Verdict& verdict) {
+  module_.Feed(PeerVerdict{servers_.numbers().Of(verdict.server),
+                           module_.clock().FromUnix(static_cast<double>(verdict.until)), verdict.failures,
+                           verdict.attempts});
+}
+
+void FleetLink::OnKey(const fleet::KeySite& site, fleet::UnixMs met) {
+  module_.Feed(PeerKey{servers_.numbers().Of(site.server), site.key,
+                       module_.clock().FromUnix(static_cast<double>(met))});
+}
+
+void FleetLink::OnShare(int most_in_flight) { module_.Feed(ServerShare{most_in_flight}); }
+
+void FleetLink::OnJoined() { recovery_.OnJoined(); }
+
+// A new holder says everything anew, under its own token.
+void FleetLink::OnRole(const std::string& duty, fleet::Role role) {
+  const bool holds = role == fleet::Role::kHolder;
+  const bool renewed = holds && std::exchange(held_[duty], holds);
+  held_[duty] = holds;
+  if (renewed) return;
+  duty == fleet::kMaintenanceDuty ? maintenance_.OnRole() : discovery_.OnRole();
+}
+
+void FleetLink::OnDutyFact(const fleet::DutyFact& fact) {
+  if (fact.duty == fleet::kDiscoveryDuty) return discovery_.OnFact(fact);
+  if (fact.duty == fleet::kMaintenanceDuty) maintenance_.OnFact(fact);
+}
+
+}  // namespace brackenspoke::proxy
--- /dev/null
+++ b/src/proxy/fleet_link/maintenance_duty.cpp
@@ -0,0 +1,57 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "fleet_link/maintenance_duty.h"
+
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "base/log.h"
+#include "desk/servers_out.h"
+#include "fleet/lease/failures.h"
+#include "fleet_link/fleet_link.h"
+
+namespace brackenspoke::proxy {
+namespace {
+
+constexpr std::chrono::hours kFactLasts{12};  // of what the holder makes known, unless it is renewed
+
+}  // namespace
+
+void MaintenanceDuty::Change(const OperatorCall& call, OnReply reply) {
+  const bool out = call.verb == OperatorCall::Verb::kDetach;
+  if (!fleet_.node() || !fleet_.node()->leased())
+    return servers_.Change(call.id, out, nullptr, std::move(reply));
+  const auto guard = fleet_.node()->Guard(fleet::kMaintenanceDuty);
+  if (!guard) return reply(OperatorReply::No(NotTheHolder()));
+  // The disk may take longer than the lease; then the change is another holder's to make.
+  servers_.Change(
+      call.id, out, [&] { return Publish(*guard); }, std::move(reply));
+}
+
+void MaintenanceDuty::OnRole() {
+  if (const auto guard = fleet_.node()->Guard(fleet::kMaintenanceDuty))
+    if (const auto published = Publish(*guard); !published) log::Warn("fleet", published.error());
+}
+
+void MaintenanceDuty::OnFact(const fleet::DutyFact& fact) {
+  if (!fact.value.is_array()) return;
+  std::set<std::string> out;
+  for (const nlohmann::json& id : fact.value)
+    if (id.is_string() && !id.get<std::string>().empty()) out.insert(id.get<std::string>());
+  servers_.Replace(std::move(out));
+}
+
+Result<void> MaintenanceDuty::Publish(const fleet::LeaseGuard& guard) {
+  return fleet_.node()->Publish(guard, "maintenance", servers_.out(), kFactLasts);
+}
+
+Failure MaintenanceDuty::NotTheHolder() const {
+  const fleet::Node& node = *std::as_const(fleet_).node();
+  if (node.FollowerOf(fleet::kMaintenanceDuty))
+    return Failure(fleet::kHeldElsewhere, node.HolderOf(fleet::kMaintenanceDuty));
+  return Failure(fleet::kNoHolder, fleet::kMaintenanceDuty);
+}
+
+}  // namespace brackenspoke::proxy
--- /dev/null
+++ b/src/proxy/fleet_link/maintenance_duty.h
@@ -0,0 +1,42 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// The servers that operators have taken out, as one for a fleet: the duty's holder alone changes them and
+// makes them known.
+#ifndef BRACKENSPOKE_PROXY_FLEET_LINK_MAINTENANCE_DUTY_H_
+#define BRACKENSPOKE_PROXY_FLEET_LINK_MAINTENANCE_DUTY_H_
+
+#include <optional>
+
+#include "base/error/failure.h"
+#include "fleet/lease/guard.h"
+#include "fleet/state/state.h"
+#include "operators.h"
+
+namespace brackenspoke::proxy {
+
+class FleetLink;
+class ServersOut;
+
+class MaintenanceDuty {
+ public:
+  // Both outlive the last call; they need not be made yet.
+  MaintenanceDuty(FleetLink& fleet, ServersOut& servers) : fleet_(fleet), servers_(servers) {}
+
+  // DETACH or ATTACH: made under the lease, where duties have leases; the reply says if it is another's.
+  void Change(const OperatorCall& call, OnReply reply);
+
+  // This process has become the duty's holder, or is it no more.
+  void OnRole();
+  void OnFact(const fleet::DutyFact& fact);
+
+ private:
+  Result<void> Publish(const fleet::LeaseGuard& guard);
+  Failure NotTheHolder() const;
+
+  FleetLink& fleet_;
+  ServersOut& servers_;
+};
+
+}  // namespace brackenspoke::proxy
+
+#endif  // BRACKENSPOKE_PROXY_FLEET_LINK_MAINTENANCE_DUTY_H_
