Let members of the model send payloads and leave, and gateways judge marks and budgets

What is built on a gateway of the model needs what the program has: payloads on a channel, facts published under another pool's lease, guards, an operator's drain; an answer given before the module hears of a request, the mark of a spilled request and the estimate of its answer, and to know which try ran. Two lives of a gateway now give their requests different numbers: servers took those of the second for repeats of the first's.

--- a/model/fleet/member.cpp
+++ b/model/fleet/member.cpp
@@ -104,17 +104,52 @@
 void PoolMember::Tell(fleet::KeySite site) { state_.Write(host_.Wall(), std::move(site)); }
 
 void PoolMember::Publish(const std::string& duty, const std::string& key, nlohmann::json value, Span lasts) {
-  if (!Holds(duty)) return;
+  if (const auto guard = Guard(duty)) Publish(*guard, key, std::move(value), lasts);
+}
+
+bool PoolMember::Publish(const fleet::LeaseGuard& guard, const std::string& key, nlohmann::json value,
+                         Span lasts) {
+  if (!guard.Holds(host_.Now())) return false;
   const fleet::UnixMs now = host_.Wall();
-  state_.Write(now, fleet::DutyFact{duty, key, leases_->token(duty),
-                                    now + static_cast<fleet::UnixMs>(Milliseconds(lasts)), std::move(value)});
+  const fleet::UnixMs until = now + static_cast<fleet::UnixMs>(Milliseconds(lasts));
+  state_.Write(now, fleet::DutyFact{guard.duty(), key, guard.token(), until, std::move(value)});
   PushState();
+  return true;
+}
+
+void PoolMember::Send(const Endpoint& to, std::string channel, nlohmann::json payload) {
+  Message message;
+  message.kind = Message::Kind::kPayload;
+  message.sender = membership_.self().last;
+  message.channel = std::move(channel);
+  message.payload = std::move(payload);
+  Send(to, message);
+}
+
+void PoolMember::Leave() {
+  if (leases_) leases_->Release(host_.Now());
+  membership_.Leave(host_.Now());
+}
+
+void PoolMember::Rejoin() {
+  membership_.Rejoin(host_.Now());
+  if (leases_) leases_->Resume(host_.Now());
 }
 
 bool PoolMember::Holds(const std::string& duty) const {
   return leases_ && leases_->role(host_.Now(), duty) == fleet::Role::kHolder;
 }
 
+std::optional<fleet::LeaseGuard> PoolMember::Guard(const std::string& duty) const {
+  return leases_ ? leases_->Guard(host_.Now(), duty) : std::nullopt;
+}
+
+// Holders are named as "name/life".
+std::string PoolMember::HolderOf(const std::string& duty) const {
+  const std::string holder = leases_ ? leases_->holder(duty) : "";
+  return holder.substr(0, holder.find('/'));
+}
+
 void PoolMember::Send(const Endpoint& to, const Message& message) {
   Message whole = message;
   AddState(&whole);
--- a/model/fleet/member.h
+++ b/model/fleet/member.h
@@ -65,6 +65,13 @@
   void Tell(fleet::KeySite site);
   // A fact of a duty for so long; nothing unless this member holds the lease.
   void Publish(const std::string& duty, const std::string& key, nlohmann::json value, Span lasts);
+  // The same under a lease of any pool; false, and nothing, if it does not hold now.
+  bool Publish(const fleet::LeaseGuard& guard, const std::string& key, nlohmann::json value, Span lasts);
+  // To whoever has that address in the pool, for a layer above. What comes is in Datagram's message.
+  void Send(const Endpoint& to, std::string channel, nlohmann::json payload);
+  // Out of the pool, its leases given back, and in again.
+  void Leave();
+  void Rejoin();
 
   const model::Host& host() const { return host_; }
   const PoolOptions& options() const { return options_; }
@@ -72,6 +79,9 @@
   // Null: none are wanted.
   const fleet::Leases* leases() const { return leases_ ? &*leases_ : nullptr; }
   bool Holds(const std::string& duty) const;
+  std::optional<fleet::LeaseGuard> Guard(const std::string& duty) const;
+  // The name of the member that is known to hold the duty; empty: none.
+  std::string HolderOf(const std::string& duty) const;
   // Times that a voter refused for a reason that an operator has to mend.
   std::uint64_t failures() const { return failures_; }
   fleet::SharedState& state() { return state_; }
--- a/model/site/clients.cpp
+++ b/model/site/clients.cpp
@@ -55,6 +55,8 @@
   ask.work_ms = std::exponential_distribution<double>(1 / options_.work_ms)(random_);
   const ClassSettings& of = options_.classes.at(static_cast<std::size_t>(ask.request_class));
   ask.left = OfMs(of.deadline.count());
+  if (options_.marked > 0 && std::generate_canonical<double, 53>(random_) < options_.marked)
+    ask.mark = options_.mark;
   ledger_.Asked(call, {options_.site,
                        ask.request_class,
                        ask.tenant,
@@ -66,6 +68,7 @@
                        0,
                        0,
                        {},
+                       {},
                        Ending::kExpired});
   open_[call].ask = ask;
   Send(call);
--- a/model/site/clients.h
+++ b/model/site/clients.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <random>
+#include <string>
 #include <vector>
 
 #include "model/site/ledger.h"
@@ -21,8 +22,10 @@
   std::vector<ClassSettings> classes{{}};  // deadline, effect and worth are read
   std::vector<double> class_shares{1};     // of the requests
   std::vector<double> tenant_shares{1};
-  double work_ms = 10;                           // in the mean, exponential
-  std::uint64_t keys = 0;                        // each request has one of them; 0: none has
+  double work_ms = 10;     // in the mean, exponential
+  std::uint64_t keys = 0;  // each request has one of them; 0: none has
+  double marked = 0;       // share that has `mark`, which is not theirs to have
+  std::string mark;
   int most_tries = 1;                            // after a refusal
   Span backoff{std::chrono::milliseconds(200)};  // without advice, times 1 to 2
   std::uint64_t seed = 0;
@@ -39,6 +42,7 @@
 
   // From now on. To be called from outside its own calls; what is due is seen at its next tick.
   void SetRate(double per_s) { options_.per_s = per_s; }
+  std::size_t open() const { return open_.size(); }
   void SetTenants(std::vector<double> shares) { options_.tenant_shares = std::move(shares); }
 
  private:
--- a/model/site/gateway.cpp
+++ b/model/site/gateway.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <string>
+#include <tuple>
 
 namespace brackenspoke::model {
 namespace {
@@ -23,7 +24,8 @@
       host_(host),
       options_(options),
       ledger_(ledger),
-      balancer_(options.settings, options.seed) {
+      balancer_(options.settings, options.seed),
+      last_(static_cast<RequestId>(host.True().count())) {
   ListUpdate list{ListKind::kFull, {}};
   for (ServerId server = 1; server <= options_.servers.size(); ++server) {
     ServerEntry entry;
@@ -66,6 +68,7 @@
   const Request* request = Find(wake.id);
   if (!request || request->answered) return;
   Finish(wake.id, Ending::kExpired);
+  OnGone(wake.id, *request);
   Feed(ClientGone{wake.id});
   ForgetIfOver(wake.id);
 }
@@ -83,8 +86,9 @@
   Request& request = requests_[id];
   request.ask = ask;
   request.client = packet.from;
-  request.due = host_.Now() + ask.left;
-  Submit submit;
+  request.came = host_.Now();
+  request.due = request.came + ask.left;
+  Submit& submit = request.submit;
   submit.request = id;
   submit.due = PointOf(request.due);
   submit.request_class = ask.request_class;
@@ -93,9 +97,9 @@
   submit.has_hint = true;
   submit.client_retry = ask.tried > 0;
   submit.work_ms = ask.work_ms;
-  OnArrival(request, &submit);
+  if (!OnArrival(id, request)) return ForgetIfOver(id);
   wakes_.emplace(request.due, Wake{Wake::Kind::kDue, id, 0});
-  Feed(submit);
+  Feed(Submit(submit));
 }
 
 void GatewayProgram::Do(const Dispatch& action) {
@@ -113,8 +117,10 @@
   if (action.timeout.count() > 0) timeout = std::min(timeout, SpanOf(action.timeout));
   out_[action.request] = {attempt, action.server};
   wakes_.emplace(host_.Now() + timeout, Wake{Wake::Kind::kAttempt, action.request, attempt});
-  host_.Send(options_.servers.at(action.server - 1),
-             ServerAsk{request.ask.call, action.request, attempt, request.ask.work_ms, timeout}, kAskBytes);
+  host_.Send(
+      options_.servers.at(action.server - 1),
+      ServerAsk{request.ask.call, request.ask.tried, action.request, attempt, request.ask.work_ms, timeout},
+      kAskBytes);
 }
 
 // By an answer or a time-out: whichever is first.
@@ -142,7 +148,10 @@
 }
 
 void GatewayProgram::Do(const Fail& action) {
-  Finish(action.request, Ending::kFailed);
+  if (const Request* request = Find(action.request); request && !request->answered) {
+    Finish(action.request, Ending::kFailed);
+    OnFailed(action.request, *request);
+  }
   ForgetIfOver(action.request);
 }
 
@@ -160,9 +169,11 @@
 void GatewayProgram::Finish(RequestId id, Ending ending, Span retry_after) {
   const auto found = requests_.find(id);
   if (found == requests_.end() || std::exchange(found->second.answered, true)) return;
-  const ClientAsk& ask = found->second.ask;
-  ledger_.Answered(ask.call, ask.tried);
-  host_.Send(found->second.client, ClientAnswer{ask.call, ask.tried, ending, retry_after}, kAnswerBytes);
+  const auto& [ask, spilled] = std::tie(found->second.ask, found->second.submit.spilled);
+  if (!spilled) ledger_.Answered(ask.call, ask.tried);
+  host_.Send(found->second.client,
+             ClientAnswer{ask.call, ask.tried, ending, retry_after, spilled ? EstimateText() : ""},
+             kAnswerBytes);
 }
 
 const GatewayProgram::Request* GatewayProgram::Find(RequestId id) const {
@@ -170,10 +181,17 @@
   return found == requests_.end() ? nullptr : &found->second;
 }
 
+std::size_t GatewayProgram::Overdue(Time by) const {
+  return static_cast<std::size_t>(std::count_if(requests_.begin(), requests_.end(), [by](const auto& each) {
+    return !each.second.answered && each.second.due < by;
+  }));
+}
+
 void GatewayProgram::ForgetIfOver(RequestId id) {
   const auto found = requests_.find(id);
-  if (found != requests_.end() && found->second.answered && !found->second.attempt_out)
-    requests_.erase(found);
+  if (found == requests_.end() || !found->second.answered || found->second.attempt_out) return;
+  requests_.erase(found);
+  OnForgotten(id);
 }
 
 }  // namespace brackenspoke::model
--- a/model/site/gateway.h
+++ b/model/site/gateway.h
@@ -35,12 +35,18 @@
   // Of discovery, of operators, or of a part beside the module.
   void Feed(Event event);
   const Balancer& balancer() const { return balancer_; }
+  // Requests that are not over, and of them those without an answer whose time was up before `by`, by this
+  // machine's clock.
+  std::size_t open() const { return requests_.size(); }
+  std::size_t Overdue(Time by) const;
 
  protected:
   struct Request {
     ClientAsk ask;
     Endpoint client;
     Time due{};
+    Submit submit;  // as the module has it
+    Time came{};
     bool answered = false;
     bool attempt_out = false;
     int attempts = 0;
@@ -48,17 +54,25 @@
     bool ran = false;  // an attempt was sent that is not proven not to have run
   };
 
-  // Before the module hears of it: may set its share, or that it is spilled.
-  virtual void OnArrival(const Request&, Submit*) {}
+  // Before the module hears of it: may set its share, or that it is spilled. False: it has had its answer.
+  virtual bool OnArrival(RequestId, Request&) { return true; }
   // The module has refused it. True: taken over, and whoever did calls Finish.
   virtual bool OnRefused(RequestId, const Request&, Span /*retry_after*/) { return false; }
+  // It ends without an answer of a server: the module has failed it, or nobody waits for it any longer.
+  virtual void OnFailed(RequestId, const Request&) {}
+  virtual void OnGone(RequestId, const Request&) {}
   // Anything that is no request and no answer of a server.
   virtual void OnPacket(const Packet&) {}
 
   // The one final answer; nothing if there was one already.
   void Finish(RequestId id, Ending ending, Span retry_after = Span(0));
+  void ForgetIfOver(RequestId id);
+  // Nothing more comes of it.
+  virtual void OnForgotten(RequestId) {}
+  // Of answers to spilled requests.
+  virtual std::string EstimateText() const { return ""; }
   const Request* Find(RequestId id) const;
-  Host& host() { return host_; }
+  Host& host() const { return host_; }
   static TimePoint PointOf(Time time);
 
  private:
@@ -72,7 +86,6 @@
   void OnAsk(const Packet& packet, const ClientAsk& ask);
   void OnEnded(RequestId id, int attempt, Outcome outcome);
   void OnWake(const Wake& wake);
-  void ForgetIfOver(RequestId id);
 
   void Do(const Dispatch& action);
   void Do(const Refuse& action);
@@ -89,7 +102,7 @@
   Balancer balancer_;
   std::deque<Event> events_;
   bool handling_ = false;
-  RequestId last_ = 0;
+  RequestId last_;  // those of two lives differ
   std::map<RequestId, Request> requests_;
   std::map<RequestId, std::pair<int, ServerId>> out_;  // the attempt under way
   std::set<std::pair<CallId, int>> seen_;
--- a/model/site/ledger.h
+++ b/model/site/ledger.h
@@ -24,12 +24,17 @@
     double worth = 0, work_ms = 0;
     Moment asked{0}, ended{0};
     int ran = 0, ends = 0;
+    std::map<int, int> runs;     // of them, those of each try
     std::map<int, int> answers;  // that gateways gave to each try
     Ending ending = Ending::kExpired;
   };
 
   void Asked(CallId id, Call call) { calls_[id] = std::move(call); }
-  void Ran(CallId id) { ++calls_[id].ran; }
+  void Ran(CallId id, int tried) {
+    Call& call = calls_[id];
+    ++call.ran;
+    ++call.runs[tried];
+  }
   void Answered(CallId id, int tried) { ++calls_[id].answers[tried]; }
   void Ended(CallId id, Ending ending, Moment at) {
     Call& call = calls_[id];
--- a/model/site/server.cpp
+++ b/model/site/server.cpp
@@ -25,7 +25,7 @@
 }
 
 void StandServer::Start(Job job) {
-  ledger_.Ran(job.ask.call);
+  ledger_.Ran(job.ask.call, job.ask.tried);
   const auto takes = std::chrono::duration<double, std::milli>(job.ask.work_ms / Pace());
   running_.emplace(host_.Now() + std::chrono::duration_cast<Span>(takes), std::move(job));
 }
--- a/model/site/traffic.h
+++ b/model/site/traffic.h
@@ -6,6 +6,7 @@
 #define BRACKENSPOKE_MODEL_SITE_TRAFFIC_H_
 
 #include <cstdint>
+#include <string>
 
 #include "brackenspoke/balancer.h"
 #include "model/program.h"
@@ -22,17 +23,20 @@
   std::uint64_t key = 0;  // 0: none
   double work_ms = 0;     // hinted; on a standard core
   Span left{0};           // until the client gives this try up
+  std::string mark;       // the header of a spilled request; empty: it has none
 };
 enum class Ending { kServed, kRefused, kFailed, kExpired };
 struct ClientAnswer {
   CallId call = 0;
   int tried = 0;
   Ending ending = Ending::kServed;
-  Span retry_after{0};  // of kRefused; 0: no advice
+  Span retry_after{0};   // of kRefused; 0: no advice
+  std::string estimate;  // the header of an answer to a spilled request; empty: it has none
 };
 
 struct ServerAsk {
   CallId call = 0;
+  int tried = 0;
   RequestId request = 0;  // the gateway's
   int attempt = 0;
   double work_ms = 0;
--- a/model/world.h
+++ b/model/world.h
@@ -45,6 +45,7 @@
   void Stall(std::size_t machine, Moment for_so_long);
   void JumpWall(std::size_t machine, std::int64_t ms);
   Program* program(std::size_t machine) { return machines_.at(machine)->program(); }  // null while down
+  bool stalled(std::size_t machine) const { return machines_.at(machine)->stalled(); }
   Host& host(std::size_t machine) { return *machines_.at(machine); }
 
   // Anything else of the scenario. A moment that is past counts as now.
