--- /dev/null
+++ b/model/system/gateway.cpp
@@ -0,0 +1,169 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "model/system/gateway.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace brackenspoke::model {
+namespace {
+
+FleetSetup Observed(FleetSetup setup, Observer* facts) {
+  setup.wide_pool.value().observer = facts;
+  return setup;
+}
+
+}  // namespace
+
+SystemGateway::SystemGateway(Host& host, FleetSetup setup, const GatewayOptions& options, Ledger& ledger,
+                             const Wiring& wiring, Checks& checks)
+    : GatewayProgram(host, Observed(setup, &facts_), options, ledger),
+      setup_(std::move(setup)),
+      options_(options),
+      wiring_(wiring),
+      checks_(checks),
+      quota_(host, *wide(), setup_.machine, wiring, checks),
+      spill_(host, site(), *wide(), setup_.machine, wiring, checks, *this) {
+  Feed(SpillShare{wiring.spill.most_part});
+}
+
+void SystemGateway::Receive(const Packet& packet) {
+  GatewayProgram::Receive(packet);
+  const auto* datagram = std::any_cast<Datagram>(packet.content.get());
+  if (datagram && datagram->message.kind == fleet::Message::Kind::kPayload) OnPayload(datagram->message);
+  for (const fleet::DutyFact& fact : facts_.Take()) spill_.OnPoolFact(fact);
+}
+
+// Of the federation's pool only what comes from a gateway's configured address.
+void SystemGateway::OnPayload(const fleet::Message& message) {
+  const std::string& name = message.sender.name;
+  if (name == host().Name()) return;
+  if (message.channel == SpillSide::kChannel) return spill_.HearSpare(name, message.payload);
+  const auto known = wiring_.addresses.find(name);
+  if (known != wiring_.addresses.end() && known->second == message.sender.address)
+    quota_.Receive(name, message.payload);
+}
+
+void SystemGateway::Tick() {
+  GatewayProgram::Tick();
+  if (quota_.Next() <= host().Now()) quota_.Tick();
+  if (spill_.Next() <= host().Now()) spill_.Tick();
+  if (!leaves_at_ || *leaves_at_ > host().Now()) return;
+  leaves_at_.reset();
+  wide()->Leave();
+}
+
+Time SystemGateway::Next() const {
+  return std::min({GatewayProgram::Next(), quota_.Next(), spill_.Next(), leaves_at_.value_or(Time::max())});
+}
+
+void SystemGateway::Leave() {
+  site().Leave();
+  quota_.Pause();
+  leaves_at_ = quota_.OutUntil();
+}
+
+void SystemGateway::Rejoin() {
+  site().Rejoin();
+  leaves_at_.reset();
+  wide()->Rejoin();
+  quota_.Resume();
+}
+
+brackenspoke::Spare SystemGateway::SpareNow() const { return balancer().Spare(PointOf(host().Now())); }
+
+std::string SystemGateway::LeftOpen() const {
+  std::string left;
+  const auto add = [&](std::size_t count, const char* what) {
+    if (count > 0) left += (left.empty() ? "" : ", ") + std::to_string(count) + " " + what;
+  };
+  add(open(), "requests");
+  add(charged_.size(), "charges");
+  add(spill_.open(), "spilled requests");
+  return left;
+}
+
+// ---- requests -----------------------------------------------------------------------------------------
+bool SystemGateway::OnArrival(RequestId id, Request& request) {
+  request.submit.spilled = spill_.TakeMark(&request.ask, request.client);
+  if (request.submit.spilled || Admit(request, id)) return true;
+  return false;
+}
+
+// False if it has had its answer: its partner is over a budget that refuses.
+bool SystemGateway::Admit(Request& request, RequestId id) {
+  const std::string& partner = wiring_.tenants.at(static_cast<std::size_t>(request.ask.tenant));
+  const Checks::Try one{request.ask.call, request.ask.tried};
+  const quota::Charged charged = quota_.Charge(partner, request.ask.work_ms);
+  if (charged.verdict == quota::Verdict::kInside)
+    charged_[id] = {checks_.Admitted(partner, one, charged.ticket.cost), charged.ticket};
+  if (charged.verdict != quota::Verdict::kUnknown)
+    request.submit.share = charged.verdict == quota::Verdict::kInside ? Share::kInside : Share::kOver;
+  if (charged.verdict != quota::Verdict::kOver || charged.over != quota::Over::kRefuse) return true;
+  checks_.OverBudget(one);
+  const Span most = std::chrono::duration_cast<Span>(options_.settings.max_retry_after);
+  Finish(id, Ending::kRefused, std::min(most, charged.retry_after));
+  return false;
+}
+
+void SystemGateway::Credit(RequestId id) {
+  const auto found = charged_.find(id);
+  if (found == charged_.end()) return;
+  quota_.Credit(found->second.ticket);
+  checks_.Credited(found->second.ticket.partner, found->second.number);
+  charged_.erase(found);
+}
+
+bool SystemGateway::OnRefused(RequestId id, const Request& request, Span retry_after) {
+  if (request.attempt_out) {
+    OnSpillRefused(id, retry_after);
+    return true;
+  }
+  const ClassSettings& rules =
+      options_.settings.classes.at(static_cast<std::size_t>(request.ask.request_class));
+  const Time now = host().Now();
+  spill::Refused refused;
+  refused.request = id;
+  refused.effect = rules.effect;
+  refused.aim_left = request.came + std::chrono::duration_cast<Span>(rules.aim) - now;
+  refused.deadline_left = request.due - now;
+  refused.work_ms = request.submit.work_ms;
+  refused.worth = rules.worth;
+  refused.key = request.ask.key;
+  refused.within_budget = request.submit.share != Share::kOver;
+  refused.spilled = request.submit.spilled;
+  refused.retry_after = retry_after;
+  spill_.Offer(refused, request.ask, request.submit);
+  return true;
+}
+
+void SystemGateway::OnFailed(RequestId id, const Request& request) {
+  if (request.attempts == 0) Credit(id);
+}
+
+void SystemGateway::OnGone(RequestId id, const Request& request) {
+  if (request.attempts == 0) Credit(id);
+  spill_.Gone(id);
+}
+
+void SystemGateway::OnPacket(const Packet& packet) {
+  if (const auto* answer = std::any_cast<ClientAnswer>(packet.content.get()))
+    spill_.Receive(packet.from, *answer);
+}
+
+void SystemGateway::OnSpillServed(RequestId request) {
+  Finish(request, Ending::kServed);
+  ForgetIfOver(request);
+}
+
+void SystemGateway::OnSpillRefused(RequestId request, Span retry_after) {
+  Credit(request);
+  Finish(request, Ending::kRefused, retry_after);
+  ForgetIfOver(request);
+}
+
+void SystemGateway::OnSpillFailed(RequestId request) {
+  Finish(request, Ending::kFailed);
+  ForgetIfOver(request);
+}
+
+}  // namespace brackenspoke::model
--- /dev/null
+++ b/model/system/spill_side.h
@@ -0,0 +1,95 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Spill at a gateway of the model: the real Spill and, under the site's lease, the real Ambassador on both
+// pools, as src/proxy/federation/spill_service.cpp has them on sockets and timers.
+#ifndef BRACKENSPOKE_MODEL_SYSTEM_SPILL_SIDE_H_
+#define BRACKENSPOKE_MODEL_SYSTEM_SPILL_SIDE_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "model/fleet/program.h"
+#include "model/site/traffic.h"
+#include "model/system/checks.h"
+#include "model/system/wiring.h"
+#include "spill/ambassador.h"
+#include "spill/spill.h"
+
+namespace brackenspoke::model {
+
+// Whose requests are spilled. Every request offered ends by one call of the three, unless its client goes.
+class SpillHost {
+ public:
+  virtual ~SpillHost() = default;
+  virtual brackenspoke::Spare SpareNow() const = 0;
+  virtual void OnSpillServed(RequestId request) = 0;
+  virtual void OnSpillRefused(RequestId request, Span retry_after) = 0;
+  virtual void OnSpillFailed(RequestId request) = 0;
+};
+
+class SpillSide {
+ public:
+  static constexpr const char* kChannel = "spare";
+
+  // Of the gateway on that machine; all that is given outlives this.
+  SpillSide(Host& host, PoolMember& site, PoolMember& wide, std::size_t machine, const Wiring& wiring,
+            Checks& checks, SpillHost& requests);
+
+  void Offer(const spill::Refused& refused, const ClientAsk& ask, const Submit& submit);
+  void Gone(RequestId request);
+  // A neighbour's answer, if anybody here waits for it.
+  void Receive(const Endpoint& from, const ClientAnswer& answer);
+
+  // Whether a request comes from another site's gateway; takes the mark off it either way.
+  bool TakeMark(ClientAsk* ask, const Endpoint& peer) const;
+  std::string EstimateText() const;
+
+  void OnPoolFact(const fleet::DutyFact& fact);
+  void HearSpare(const std::string& member, const nlohmann::json& payload);
+  void Tick();
+  Time Next() const;
+
+  bool HasEstimateOf(const std::string& site) const;
+  std::size_t open() const { return spill_.open() + open_.size(); }
+
+ private:
+  struct Open {
+    ClientAsk ask;
+    Submit submit;
+    spill::Neighbour at;
+    Time sent{}, timeout = Time::max();
+  };
+  void Feed(const spill::Event& event);
+  void Do(const spill::SendTo& action);
+  void Do(const spill::GiveUp& action);
+  void Do(const spill::Log&) {}
+  void Do(const spill::SetTimer&) {}  // Look comes as often
+  void OnDone(RequestId request, spill::SpillOutcome outcome);
+
+  void Look();
+  void LookAtPresence();
+  void TellSpare();
+  void MakeEstimate();
+  spill::MemberSpare OwnSpare() const;
+
+  Host& host_;
+  PoolMember& site_;
+  PoolMember& wide_;
+  const std::size_t machine_;
+  const Wiring& wiring_;
+  const std::string own_site_, duty_;
+  Checks& checks_;
+  SpillHost& requests_;
+  spill::Spill spill_;
+  std::map<RequestId, Open> open_;
+  std::map<std::string, bool> present_;  // gateways of other sites, as last told
+  std::optional<spill::Ambassador> ambassador_;
+  fleet::Token office_ = 0;  // the lease that the ambassador is of
+  Time next_look_;
+};
+
+}  // namespace brackenspoke::model
+
+#endif  // BRACKENSPOKE_MODEL_SYSTEM_SPILL_SIDE_H_
--- /dev/null
+++ b/model/system/wiring.h
@@ -0,0 +1,37 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// What all gateways of a system have in common: what the sections `sites`, `spill` and `quota` of each one's
+// file say.
+#ifndef BRACKENSPOKE_MODEL_SYSTEM_WIRING_H_
+#define BRACKENSPOKE_MODEL_SYSTEM_WIRING_H_
+
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "model/program.h"
+#include "quota/budget.h"
+#include "spill/options.h"
+
+namespace brackenspoke::model {
+
+struct Wiring {
+  std::vector<std::string> sites;             // by number
+  std::map<std::string, Endpoint> addresses;  // of each gateway, in all pools
+  spill::Directory directory;
+  quota::Layout layout;
+  spill::Options spill;
+  quota::Timings timings;
+  std::size_t treasurers = 2;
+  std::shared_ptr<const quota::Budgets> budgets;
+  std::vector<std::string> tenants;  // by the settings' numbers
+
+  static std::string AmbassadorOf(const std::string& site) { return "ambassador/" + site; }
+  static std::string TreasurerOf(std::size_t number) { return "treasurer/" + std::to_string(number); }
+};
+
+}  // namespace brackenspoke::model
+
+#endif  // BRACKENSPOKE_MODEL_SYSTEM_WIRING_H_
