Credit a charge only of what is proven not to have run, and spill nothing else

Two causes in the proxy's wiring, both of use to a partner that wants more than it bought: - a client that leaves while its request is at a neighbour was credited, since no attempt had been made here; - a request of a safe class whose attempt timed out, and that the module then refuses, was credited as proven, and was offered to neighbours though only what has not run may be. Now a request keeps whether an attempt that ended, or a neighbour that has it, may have run it; that alone decides over the credit, and over whether it may be spilled.

--- a/model/site/gateway.cpp
+++ b/model/site/gateway.cpp
@@ -131,7 +131,7 @@
   out_.erase(out);
   Request& request = requests_.at(id);
   request.attempt_out = false;
-  request.ran |= outcome != Outcome::kFull;
+  request.may_have_run |= outcome != Outcome::kFull;
   const Duration took(host_.Now() - request.sent_at);
   if (outcome == Outcome::kOk) Finish(id, Ending::kServed);
   const bool settled = requests_.at(id).answered;
@@ -176,7 +176,7 @@
              kAnswerBytes);
 }
 
-const GatewayProgram::Request* GatewayProgram::Find(RequestId id) const {
+GatewayProgram::Request* GatewayProgram::Find(RequestId id) {
   const auto found = requests_.find(id);
   return found == requests_.end() ? nullptr : &found->second;
 }
--- a/model/site/gateway.h
+++ b/model/site/gateway.h
@@ -51,13 +51,13 @@
     bool attempt_out = false;
     int attempts = 0;
     Time sent_at{};
-    bool ran = false;  // an attempt was sent that is not proven not to have run
+    bool may_have_run = false;  // an attempt that ended, or a neighbour that has it, may have run it
   };
 
   // Before the module hears of it: may set its share, or that it is spilled. False: it has had its answer.
   virtual bool OnArrival(RequestId, Request&) { return true; }
   // The module has refused it. True: taken over, and whoever did calls Finish.
-  virtual bool OnRefused(RequestId, const Request&, Span /*retry_after*/) { return false; }
+  virtual bool OnRefused(RequestId, Request&, Span /*retry_after*/) { return false; }
   // It ends without an answer of a server: the module has failed it, or nobody waits for it any longer.
   virtual void OnFailed(RequestId, const Request&) {}
   virtual void OnGone(RequestId, const Request&) {}
@@ -71,7 +71,7 @@
   virtual void OnForgotten(RequestId) {}
   // Of answers to spilled requests.
   virtual std::string EstimateText() const { return ""; }
-  const Request* Find(RequestId id) const;
+  Request* Find(RequestId id);
   Host& host() const { return host_; }
   static TimePoint PointOf(Time time);
 
--- a/model/system/gateway.cpp
+++ b/model/system/gateway.cpp
@@ -105,17 +105,17 @@
   return false;
 }
 
-void SystemGateway::Credit(RequestId id) {
+void SystemGateway::CreditIfNotRun(RequestId id, const Request& request) {
   const auto found = charged_.find(id);
-  if (found == charged_.end()) return;
+  if (found == charged_.end() || request.attempt_out || request.may_have_run) return;
   quota_.Credit(found->second.ticket);
   checks_.Credited(found->second.ticket.partner, found->second.number);
   charged_.erase(found);
 }
 
-bool SystemGateway::OnRefused(RequestId id, const Request& request, Span retry_after) {
-  if (request.attempt_out) {
-    OnSpillRefused(id, retry_after);
+bool SystemGateway::OnRefused(RequestId id, Request& request, Span retry_after) {
+  if (request.attempt_out || request.may_have_run) {
+    AnswerRefused(id, retry_after);
     return true;
   }
   const ClassSettings& rules =
@@ -132,16 +132,13 @@
   refused.within_budget = request.submit.share != Share::kOver;
   refused.spilled = request.submit.spilled;
   refused.retry_after = retry_after;
+  request.may_have_run = true;  // until it comes back as refused
   spill_.Offer(refused, request.ask, request.submit);
   return true;
 }
 
-void SystemGateway::OnFailed(RequestId id, const Request& request) {
-  if (request.attempts == 0) Credit(id);
-}
-
 void SystemGateway::OnGone(RequestId id, const Request& request) {
-  if (request.attempts == 0) Credit(id);
+  CreditIfNotRun(id, request);
   spill_.Gone(id);
 }
 
@@ -156,9 +153,14 @@
 }
 
 void SystemGateway::OnSpillRefused(RequestId request, Span retry_after) {
-  Credit(request);
-  Finish(request, Ending::kRefused, retry_after);
-  ForgetIfOver(request);
+  if (Request* refused = Find(request)) refused->may_have_run = false;
+  AnswerRefused(request, retry_after);
+}
+
+void SystemGateway::AnswerRefused(RequestId id, Span retry_after) {
+  if (const Request* request = Find(id); request && !request->answered) CreditIfNotRun(id, *request);
+  Finish(id, Ending::kRefused, retry_after);
+  ForgetIfOver(id);
 }
 
 void SystemGateway::OnSpillFailed(RequestId request) {
--- a/model/system/gateway.h
+++ b/model/system/gateway.h
@@ -62,8 +62,8 @@
   };
 
   bool OnArrival(RequestId id, Request& request) override;
-  bool OnRefused(RequestId id, const Request& request, Span retry_after) override;
-  void OnFailed(RequestId id, const Request& request) override;
+  bool OnRefused(RequestId id, Request& request, Span retry_after) override;
+  void OnFailed(RequestId id, const Request& request) override { CreditIfNotRun(id, request); }
   void OnGone(RequestId id, const Request& request) override;
   void OnForgotten(RequestId id) override { charged_.erase(id); }
   void OnPacket(const Packet& packet) override;
@@ -75,7 +75,8 @@
 
   void OnPayload(const fleet::Message& message);
   bool Admit(Request& request, RequestId id);
-  void Credit(RequestId id);
+  void CreditIfNotRun(RequestId id, const Request& request);
+  void AnswerRefused(RequestId id, Span retry_after);
 
   const FleetSetup setup_;
   const GatewayOptions options_;
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -36,6 +36,10 @@
   return std::max(config.sockets - kOtherDescriptors * processes, config.sockets / 4);
 }
 
+bool NeverRan(Outcome outcome) {
+  return outcome == Outcome::kFull || outcome == Outcome::kConnectFailed || outcome == Outcome::kMoot;
+}
+
 // What others leave of a limit, and a little: nobody is shut out for good.
 std::size_t Rest(double limit, std::size_t others) {
   return static_cast<std::size_t>(std::max(limit - static_cast<double>(others), kLeastShare));
@@ -655,13 +659,13 @@
   return pace.answers_per_ms > 0 ? pace.work_per_ms / pace.answers_per_ms : 1;
 }
 
-void Proxy::CreditIfNotRun(const Pending& pending, bool proven) {
-  if (federation_ && (proven || pending.attempts == 0)) federation_->Credit(pending.ticket);
+void Proxy::CreditIfNotRun(const Pending& pending) {
+  if (federation_ && !pending.attempt_out && !pending.may_have_run) federation_->Credit(pending.ticket);
 }
 
 void Proxy::OnClientGone(RequestId request) {
   if (!Conclude(request)) return;
-  CreditIfNotRun(pending_.at(request), false);
+  CreditIfNotRun(pending_.at(request));
   ForgetIfOver(request);
   if (federation_ && federation_->spill()) federation_->spill()->Gone(request);
   Feed(ClientGone{request});
@@ -730,6 +734,7 @@
   if (found != pending_.end()) {
     Pending& pending = found->second;
     pending.attempt_out = false;
+    pending.may_have_run |= !NeverRan(result.outcome);
     const bool passed_on = pending.first_bytes.count() > 0;
     end.took = passed_on ? pending.first_bytes : Duration(Steady::now() - pending.sent_at);
     end.repeatable = !pending.body || !pending.body->Spent();
@@ -756,12 +761,12 @@
 }
 
 void Proxy::Do(const Refuse& action) {
-  if (!Spill(action.request, action.retry_after)) OnSpillRefused(action.request, action.retry_after);
+  if (!Spill(action.request, action.retry_after)) AnswerRefused(action.request, action.retry_after);
 }
 
 void Proxy::Do(const Fail& action) {
   if (const auto responder = Conclude(action.request)) {
-    CreditIfNotRun(pending_.at(action.request), false);
+    CreditIfNotRun(pending_.at(action.request));
     responder->Failed();
   }
   ForgetIfOver(action.request);
@@ -783,13 +788,13 @@
   return federation_ && federation_->spill() ? federation_->spill()->EstimateText() : "";
 }
 
-// Offers what the module has refused; false if it is not to be had whole.
+// Offers what the module has refused; false if it is not to be had whole, or may have run here.
 bool Proxy::Spill(RequestId request, Duration retry_after) {
   const auto found = pending_.find(request);
   if (!federation_ || !federation_->spill() || found == pending_.end() || !found->second.responder)
     return false;
-  const Pending& pending = found->second;
-  if (pending.body || pending.attempt_out) return false;
+  Pending& pending = found->second;
+  if (pending.body || pending.attempt_out || pending.may_have_run) return false;
   const ClassSettings& rules = pending.config->settings.classes[pending.submit.request_class];
   const auto span = [](Duration d) { return std::chrono::duration_cast<Span>(d); };
   const TimePoint now = clock_.Now();
@@ -804,6 +809,7 @@
   refused.within_budget = pending.submit.share != Share::kOver;
   refused.spilled = pending.submit.spilled;
   refused.retry_after = span(retry_after);
+  pending.may_have_run = true;  // until it comes back as refused
   federation_->spill()->Offer(refused, pending.message);
   return true;
 }
@@ -820,8 +826,13 @@
 }
 
 void Proxy::OnSpillRefused(RequestId request, Duration retry_after) {
+  if (const auto found = pending_.find(request); found != pending_.end()) found->second.may_have_run = false;
+  AnswerRefused(request, retry_after);
+}
+
+void Proxy::AnswerRefused(RequestId request, Duration retry_after) {
   if (const auto responder = Conclude(request)) {
-    CreditIfNotRun(pending_.at(request), true);
+    CreditIfNotRun(pending_.at(request));
     responder->Refused(retry_after);
   }
   ForgetIfOver(request);
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -85,6 +85,7 @@
     Submit submit;         // as the module was told
     TimePoint came{};
     int attempts = 0;
+    bool may_have_run = false;  // an attempt that ended, or a neighbour that has it, may have run it
     bool attempt_out = false;
     Steady::time_point sent_at{};  // the attempt, or the request's last byte
     Duration first_bytes{0};       // until an answer that is passed on began
@@ -135,7 +136,8 @@
   bool Spill(RequestId request, Duration retry_after);
   void BeginFederation();
   double MeanWork() const;
-  void CreditIfNotRun(const Pending& pending, bool proven);
+  void CreditIfNotRun(const Pending& pending);
+  void AnswerRefused(RequestId request, Duration retry_after);
   void Feed(Event event);
   void HandleQueued();
   void OnList(const MemberList& list, ListKind kind);
