--- a/src/proxy/federation/link.cpp
+++ b/src/proxy/federation/link.cpp
@@ -35,14 +35,15 @@
   return false;
 }
 
-void FederationLink::CreditIfNotRun(const Pending& pending, bool proven) {
-  if (federation_ && (proven || pending.attempts == 0)) federation_->Credit(pending.ticket);
+void FederationLink::CreditIfNotRun(const Pending& pending) {
+  if (federation_ && !pending.attempt_out && !pending.may_have_run) federation_->Credit(pending.ticket);
 }
 
 bool FederationLink::Spill(RequestId request, Duration retry_after) {
   if (!spill()) return false;
-  const Pending* const pending = pending_.Find(request);
-  if (!pending || !pending->responder || pending->body || pending->attempt_out) return false;
+  Pending* const pending = pending_.Find(request);
+  if (!pending || !pending->responder || pending->body || pending->attempt_out || pending->may_have_run)
+    return false;
   const ClassSettings& rules = pending->config->settings.classes[pending->submit.request_class];
   const auto span = [](Duration d) { return std::chrono::duration_cast<Span>(d); };
   const TimePoint now = module_.Now();
@@ -57,13 +58,19 @@
   refused.within_budget = pending->submit.share != Share::kOver;
   refused.spilled = pending->submit.spilled;
   refused.retry_after = span(retry_after);
+  pending->may_have_run = true;  // until it comes back as refused
   spill()->Offer(refused, pending->message);
   return true;
 }
 
-void FederationLink::Refuse(RequestId request, Duration retry_after) {
+void FederationLink::OnSpillRefused(RequestId request, Duration retry_after) {
+  if (Pending* const pending = pending_.Find(request)) pending->may_have_run = false;
+  AnswerRefused(request, retry_after);
+}
+
+void FederationLink::AnswerRefused(RequestId request, Duration retry_after) {
   if (const auto responder = pending_.Conclude(request)) {
-    CreditIfNotRun(*pending_.Find(request), true);
+    CreditIfNotRun(*pending_.Find(request));
     responder->Refused(retry_after);
   }
   pending_.ForgetIfOver(request);
