--- a/src/proxy/core/pending.h
+++ b/src/proxy/core/pending.h
@@ -34,7 +34,7 @@
   TimePoint came{};
   int attempts = 0;
   bool attempt_out = false;
-  bool may_have_run = false;  // an attempt that ended, or a neighbour that has it, may have run it
+  bool may_have_run = false;     // an attempt that ended, or a neighbour that has it, may have run it
   Steady::time_point sent_at{};  // the attempt, or the request's last byte
   Duration first_bytes{0};       // until an answer that is passed on began
 };
