Count a cold server's budget by work and by number, each sum for itself

The cold budget counted each request as the larger of its own work and a mean one; where sizes are spread that sum is 1.3 to 1.5 times the work. Change: the sum of the work and the number times the mean are each held to the budget.

--- a/src/policy/cold_budget.h
+++ b/src/policy/cold_budget.h
@@ -20,10 +20,6 @@
   double warm_rate = 0;  // work a ms that a warm server serves for this proxy
   int processes = 1;     // that are this one proxy
 
-  // The rule counts requests, each as a mean one, and slow servers get the small ones: by hints alone one
-  // that started had got four times the number it could bear.
-  double Counted(double work) const { return std::max(work, traffic.request_work.mean); }
-
   // A cold server gets, over the rule's window, its share of what a warm one serves for this proxy. All
   // proxies doing so, their sum is that share of what a warm server can do, whatever part of the traffic each
   // has; an overloaded fleet is sent far more. Where that budget is less than a request, one may go when the
@@ -33,20 +29,23 @@
     if (share >= 1) return true;
     const Duration window = x.settings.overload_for * kWindowSlack;
     std::erase_if(s.sent, [&](const auto& sent) { return x.now - sent.first > window; });
-    double sent = 0;
+    double sent = hinted;
     for (const auto& [at, work] : s.sent) sent += work;
-    const double work = Counted(hinted);
+    // By work and by number: slow servers get the small ones, and one that started had got four times the
+    // number it could bear.
+    const double mean = traffic.request_work.mean;
+    const double counted = std::max(sent, mean * static_cast<double>(s.sent.size() + 1));
     const double weaker = std::max(1.0, s.SlownessAt(x.now) * share);  // than a warm one at its share
     const double rate = kColdCaution * x.settings.fall_multiple * share * warm_rate / processes / weaker;
-    if (sent + work <= rate * x.settings.overload_for.count()) return true;
+    if (counted <= rate * x.settings.overload_for.count()) return true;
     const double least =
         x.settings.fall_multiple * x.settings.cold_from * kColdLeast / (x.settings.balancers * processes);
     const double paid = std::max(rate, least);
-    return paid > 0 && x.now - s.turn_since >= s.turn_phase * std::max(window, Duration(work / paid));
+    return paid > 0 && x.now - s.turn_since >= s.turn_phase * std::max(window, Duration(std::max(hinted, mean) / paid));
   }
 
   void Sent(Server& s, double work) const {
-    if (servers.WarmShare(s) < 1) s.sent.emplace_back(x.now, Counted(work));
+    if (servers.WarmShare(s) < 1) s.sent.emplace_back(x.now, work);
     s.turn_since = x.now, s.turn_phase = 1;
   }
 
