--- /dev/null
+++ b/src/proxy/client/replies.h
@@ -0,0 +1,27 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// The answers that this proxy gives by itself.
+#ifndef BRACKENSPOKE_PROXY_CLIENT_REPLIES_H_
+#define BRACKENSPOKE_PROXY_CLIENT_REPLIES_H_
+
+#include <boost/beast/http/status.hpp>
+#include <boost/system/error_code.hpp>
+#include <string>
+
+#include "brackenspoke/balancer.h"
+#include "request.h"
+
+namespace brackenspoke::proxy {
+
+HttpResponse PlainReply(boost::beast::http::status status, std::string text);
+
+// Trying again is harmless, and of use after `retry_after`; 0: no advice.
+HttpResponse RefusedReply(Duration retry_after);
+HttpResponse OverBudgetReply(Duration retry_after);
+
+// To a request that could not be parsed.
+HttpResponse UnreadableReply(const boost::system::error_code& failed);
+
+}  // namespace brackenspoke::proxy
+
+#endif  // BRACKENSPOKE_PROXY_CLIENT_REPLIES_H_
--- a/src/proxy/session.h
+++ b/src/proxy/client/session.h
@@ -1,19 +1,16 @@
 // SPDX-License-Identifier: Apache-2.0
 //
 // One client's connection: reads a request, and writes the one answer to it before it reads the next.
-#ifndef BRACKENSPOKE_PROXY_SESSION_H_
-#define BRACKENSPOKE_PROXY_SESSION_H_
+#ifndef BRACKENSPOKE_PROXY_CLIENT_SESSION_H_
+#define BRACKENSPOKE_PROXY_CLIENT_SESSION_H_
 
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/serializer.hpp>
 #include <list>
 #include <memory>
-#include <optional>
 #include <string>
 
+#include "client/answer_writer.h"
+#include "client/request_reader.h"
 #include "clients.h"
 
 namespace brackenspoke::proxy {
@@ -37,7 +34,7 @@
   bool Answered() const { return answered_; }
   bool Reading() const { return state_ == State::kReading; }
   // Within a request that has not come whole, of which nothing has been seen since then.
-  bool StoppedSince(Steady::time_point before) const { return Reading() && heard_at_ <= before; }
+  bool StoppedSince(Steady::time_point before) const { return Reading() && reader_.heard_at() <= before; }
   // Bytes have come that nobody has read: the rest of a request, or a whole one, may be among them.
   bool Unread();
   // Owes an answer, or the rest of one.
@@ -58,20 +55,17 @@
  private:
   enum class State { kReading, kHeld, kWriting, kClosed };
   using Error = boost::system::error_code;
-  using Parser = boost::beast::http::request_parser<boost::beast::http::buffer_body>;
-  using Response = boost::beast::http::response<boost::beast::http::buffer_body>;
 
   bool Holds() const { return state_ == State::kHeld; }
 
   void Read();
-  void ReadSome(std::size_t most);
+  void ReadSome(std::size_t most = RequestReader::kAll);
   void OnBytes();
   void ReadHead();
   void OnHead();
   void Continue();
   void ReadBody();
   void ReadMoreOfBody();
-  std::string Decode(Error* failed);
   void OnWhole();
   void OnLarge();
   void Submit();
@@ -81,7 +75,6 @@
   void Break();
   void WatchClient();
 
-  void WriteRefusal(HttpResponse refusal, Duration retry_after);
   void Write(HttpResponse response);
   void BeginAnswer();
   void WriteAnswer(std::string piece, bool last);
@@ -93,32 +86,24 @@
 
   Clients* owner_;
   boost::beast::tcp_stream stream_;
-  boost::beast::flat_buffer buffer_;
   State state_ = State::kReading;
 
   // The request.
-  std::optional<Parser> parser_;
+  RequestReader reader_;
   ClientRequest coming_;
   std::string body_;  // read, and not given to anybody yet
-  std::size_t received_ = 0;
   unsigned version_ = 11;
-  Duration patience_{0};  // that the client has
-  Steady::time_point began_{}, body_began_{};
-  Steady::time_point waited_since_{};  // nobody has asked for more of its body since then
-  Steady::time_point heard_at_{};      // last, while it comes
-  Steady::time_point quiet_since_{};   // no request has been here since then, where it is idle
+  Duration patience_{0};              // that the client has
+  Steady::time_point quiet_since_{};  // no request has been here since then, where it is idle
   RequestId request_ = 0;
   OnPiece on_piece_;
-  bool fresh_ = true;       // nothing has been read yet
   bool in_head_ = false;    // the next bytes are of a request's head
   bool following_ = false;  // its body is passed on, and has not come whole
   bool spent_ = false;
   bool spilled_ = false;  // the request came from another site's gateway
 
   // The answer.
-  Response response_;
-  std::optional<boost::beast::http::response_serializer<boost::beast::http::buffer_body>> serializer_;
-  std::string piece_;  // being written
+  AnswerWriter writer_;
   Buffers::Hold hold_;
   std::shared_ptr<BodySource> relay_;  // what the rest of it comes from
   bool ends_with_connection_ = false;
@@ -129,4 +114,4 @@
 
 }  // namespace brackenspoke::proxy
 
-#endif  // BRACKENSPOKE_PROXY_SESSION_H_
+#endif  // BRACKENSPOKE_PROXY_CLIENT_SESSION_H_
--- a/src/proxy/clients.cpp
+++ b/src/proxy/clients.cpp
@@ -7,7 +7,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "session.h"
+#include "client/session.h"
 
 namespace brackenspoke::proxy {
 namespace {
