Move the process tests onto the shared harness

tests/process_test.cpp started its children by fork with pipes, waits and folders of its own. They are harness processes now, killed and reaped whatever a test does; a limit of descriptors is set by the shell that becomes the program. The harness gives what is said of the environment in place of what the test has of it (it came second before, so that a TMPDIR of the test's won), and can wait for all lines of a program that ends.

--- a/tests/fleet/harness.h
+++ b/tests/fleet/harness.h
@@ -44,7 +44,8 @@
 // The longest any wait of a fleet test lasts before the test is given up.
 inline constexpr milliseconds kBound{20000};
 
-// One program, started with posix_spawn; what it writes to standard output and error, line by line.
+// One program, started with posix_spawn, with `env` before what this process's environment says; what it
+// writes to standard output and error, line by line.
 class Process {
  public:
   Process(const std::string& path, const std::vector<std::string>& args,
@@ -57,8 +58,11 @@
     posix_spawn_file_actions_adddup2(&actions, ends[1], STDERR_FILENO);
     std::vector<std::string> words{path}, vars;
     words.insert(words.end(), args.begin(), args.end());
-    for (char** var = environ; *var; ++var) vars.emplace_back(*var);
     for (const auto& [name, value] : env) vars.push_back(name + "=" + value);
+    for (char** var = environ; *var; ++var) {
+      const std::string here(*var);
+      if (!env.contains(here.substr(0, here.find('=')))) vars.push_back(here);
+    }
     const auto argv = Pointers(words), envp = Pointers(vars);
     const int failed = posix_spawn(&pid_, path.c_str(), &actions, nullptr, argv.data(), envp.data());
     posix_spawn_file_actions_destroy(&actions);
@@ -114,6 +118,12 @@
     const std::lock_guard lock(mutex_);
     return lines_;
   }
+  // All that it writes, once it has closed its output, or after kBound.
+  std::vector<std::string> LinesAtEnd() {
+    std::unique_lock lock(mutex_);
+    changed_.wait_for(lock, kBound, [&] { return ended_; });
+    return lines_;
+  }
   // How many lines there are, to wait for later ones only.
   std::size_t Mark() { return Lines().size(); }
   // When line `index` was read.
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -3,95 +3,42 @@
 // The program as it is started: its configuration, its signals, its limits.
 #include <gtest/gtest.h>
 #include <signal.h>
-#include <stdlib.h>
-#include <sys/resource.h>
-#include <sys/wait.h>
-#include <unistd.h>
 
 #include <filesystem>
 #include <fstream>
 #include <map>
 
+#include "fleet/harness.h"
 #include "leased_port.h"
 #include "loopback.h"
 
 namespace brackenspoke::testing {
 namespace {
 
-// The program as a child, with what it writes to standard error.
-class Child {
- public:
-  explicit Child(const std::map<std::string, std::string>& env, rlim_t descriptors = 0,
-                 std::vector<std::string> args = {}) {
-    args.insert(args.begin(), PROXY_PATH);
-    std::vector<char*> argv;
-    for (std::string& arg : args) argv.push_back(arg.data());
-    argv.push_back(nullptr);
-    int pipe_ends[2];
-    if (pipe(pipe_ends) != 0) throw std::runtime_error("no pipe");
-    pid_ = fork();
-    if (pid_ == 0) {
-      dup2(pipe_ends[1], STDERR_FILENO);
-      close(pipe_ends[0]);
-      close(pipe_ends[1]);
-      for (const auto& [name, value] : env) setenv(name.c_str(), value.c_str(), 1);
-      const rlimit limit{descriptors, descriptors};
-      if (descriptors > 0) setrlimit(RLIMIT_NOFILE, &limit);
-      execv(PROXY_PATH, argv.data());
-      _exit(127);
-    }
-    close(pipe_ends[1]);
-    stderr_ = pipe_ends[0];
-  }
-  ~Child() {
-    if (pid_ > 0) kill(pid_, SIGKILL), Wait();
-    close(stderr_);
-  }
-  void Signal(int signal) { kill(pid_, signal); }
-  // The exit status, or 1000 and the signal that ended it.
-  int Wait() {
-    int status = 0;
-    waitpid(std::exchange(pid_, -1), &status, 0);
-    return WIFEXITED(status) ? WEXITSTATUS(status) : 1000 + WTERMSIG(status);
-  }
-  // The next line that it writes.
-  std::string Line() {
-    std::string line;
-    for (char c; read(stderr_, &c, 1) == 1 && c != '\n';) line += c;
-    return line;
-  }
-  std::string Stderr() {
-    std::string text;
-    char piece[4096];
-    for (ssize_t n; (n = read(stderr_, piece, sizeof piece)) > 0;)
-      text.append(piece, static_cast<std::size_t>(n));
-    return text;
-  }
+using Env = std::map<std::string, std::string>;
+using fleet::Folder;
+using fleet::Process;
 
- private:
-  pid_t pid_ = -1;
-  int stderr_ = -1;
-};
+// The program with no arguments, allowed so many descriptors.
+std::unique_ptr<Process> StartWithin(int descriptors, const Env& env) {
+  const std::string limited = "ulimit -n " + std::to_string(descriptors) + " && exec \"$0\"";
+  return std::make_unique<Process>("/bin/sh", std::vector<std::string>{"-c", limited, PROXY_PATH}, env);
+}
 
-class ConfigFile {
- public:
-  explicit ConfigFile(const std::string& text) {
-    char name[] = "/tmp/kestrelline-test-XXXXXX";
-    close(mkstemp(name));
-    path = name;
-    Write(text);
-  }
+struct ConfigFile {
+  explicit ConfigFile(const std::string& text) { Write(text); }
   void Write(const std::string& text) const { std::ofstream(path) << text; }
-  ~ConfigFile() { std::filesystem::remove(path); }
-  std::string path;
+
+  const Folder folder;
+  const std::string path = folder.path / "config.json";
 };
 
-void ExpectComplaint(const std::map<std::string, std::string>& env, const std::string& part) {
-  Child child(env);
-  const std::string text = child.Stderr();
-  EXPECT_EQ(child.Wait(), 1) << part;
-  EXPECT_EQ(std::count(text.begin(), text.end(), '\n'), 1) << text;
-  EXPECT_NE(text.find(part), std::string::npos) << text;
+void ExpectComplaint(const Env& env, const std::string& part) {
+  Process process(PROXY_PATH, {}, env);
+  const std::vector<std::string> lines = process.LinesAtEnd();
+  EXPECT_EQ(process.Reap(), 1) << part;
+  ASSERT_EQ(lines.size(), 1u) << part;
+  EXPECT_NE(lines[0].find(part), std::string::npos) << lines[0];
 }
 
 TEST(Process, BadOrMissingConfigurationIsOneLineAndAnExit) {
@@ -126,19 +73,18 @@
   const ConfigFile good(config.dump());
   config["fleet"] = {{"bind", "127.0.0.1:x"}, {"probe_interval_ms", 0}, {"extra", 1}};
   const ConfigFile bad(config.dump());
-  Child fit({}, 0, {"--config", good.path, "--check-config"});
-  EXPECT_EQ(fit.Wait(), 0);
-  Child unfit({}, 0, {"--check-config", "--config", bad.path});
-  EXPECT_EQ(unfit.Wait(), 1);
-  Child json_logs({{"ROUTER_CONFIG", bad.path}}, 0, {"--log-format", "json"});
-  const std::string line = json_logs.Line();
-  EXPECT_EQ(json_logs.Wait(), 1);
+  EXPECT_EQ(Process(PROXY_PATH, {"--config", good.path, "--check-config"}, {}).Reap(), 0);
+  EXPECT_EQ(Process(PROXY_PATH, {"--check-config", "--config", bad.path}, {}).Reap(), 1);
+  Process json_logs(PROXY_PATH, {"--log-format", "json"}, {{"ROUTER_CONFIG", bad.path}});
+  const auto lines = json_logs.LinesAtEnd();
+  EXPECT_EQ(json_logs.Reap(), 1);
+  ASSERT_FALSE(lines.empty());
+  const std::string& line = lines.front();
   const auto parsed = nlohmann::json::parse(line, nullptr, false);
   ASSERT_TRUE(parsed.is_object()) << line;
   EXPECT_EQ(parsed["level"], "error");
   EXPECT_NE(parsed["event"].get<std::string>().find("fleet.bind is no host:port"), std::string::npos);
-  Child odd({}, 0, {"--log-format", "xml"});
-  EXPECT_NE(odd.Wait(), 0);
+  EXPECT_NE(Process(PROXY_PATH, {"--log-format", "xml"}, {}).Reap(), 0);
 }
 
 unsigned ReadyStatus(const Tcp::endpoint& address) {
@@ -165,18 +111,18 @@
       ConfigJson(discovery.address(), Members(MemberJson("s-1", backend.address()))).dump());
   const LeasedPort port;
   const auto address = port.tcp();
-  const std::map<std::string, std::string> env{
-      {"ROUTER_CONFIG", file.path}, {"ROUTER_LISTEN", "127.0.0.1:" + std::to_string(address.port())}};
+  const Env env{{"ROUTER_CONFIG", file.path},
+                {"ROUTER_LISTEN", "127.0.0.1:" + std::to_string(address.port())}};
   for (const int signal : {SIGTERM, SIGKILL, SIGTERM}) {
-    Child child(env);
+    Process process(PROXY_PATH, {}, env);
     ASSERT_TRUE(WaitUntilReady(address));
     Client client(address);
     EXPECT_EQ(client.Ask(Look()).result_int(), 200u);
-    child.Signal(signal);
+    process.Signal(signal);
     if (signal == SIGTERM) {
       EXPECT_EQ(client.Ask(Look()).result_int(), 200u);
     }
-    EXPECT_EQ(child.Wait(), signal == SIGTERM ? 0 : 1000 + SIGKILL);
+    EXPECT_EQ(process.Reap(), signal == SIGTERM ? 0 : 1000 + SIGKILL);
   }
 }
 
@@ -190,19 +136,21 @@
   const ConfigFile file(config(before.address()));
   const LeasedPort port;
   const auto address = port.tcp();
-  Child child({{"ROUTER_CONFIG", file.path},
-               {"ROUTER_LISTEN", "127.0.0.1:" + std::to_string(address.port())},
-               {"ROUTER_DISCOVERY", "127.0.0.1:" + std::to_string(before.address().port())}});
+  Process process(PROXY_PATH, {},
+                  {{"ROUTER_CONFIG", file.path},
+                   {"ROUTER_LISTEN", "127.0.0.1:" + std::to_string(address.port())},
+                   {"ROUTER_DISCOVERY", "127.0.0.1:" + std::to_string(before.address().port())}});
   ASSERT_TRUE(WaitUntilReady(address));
   ASSERT_TRUE(before.WaitForWatches(1));
   file.Write("{\"discovery\":");
-  child.Signal(SIGHUP);
-  std::string line;
-  while (!(line = child.Line()).empty() && line.find("not reloaded") == std::string::npos) continue;
+  process.Signal(SIGHUP);
+  const auto found = process.WaitFor("not reloaded");
+  ASSERT_TRUE(found);
+  const std::string& line = found->second;
   EXPECT_NE(line.find(" error n1 config: CONFIG-1 "), std::string::npos) << line;
   EXPECT_NE(line.find(": not reloaded: the configuration is no JSON object; "), std::string::npos) << line;
   file.Write(config(after.address()));
-  child.Signal(SIGHUP);
+  process.Signal(SIGHUP);
   ASSERT_TRUE(after.WaitForWatches(1));
   after.Push(ListJson(42, true, Members(MemberJson("s-2", moved.address()))));
   Client client(address);
@@ -211,8 +159,8 @@
   while (body != "moved" && std::chrono::steady_clock::now() < until) body = client.Ask(Look()).body();
   EXPECT_EQ(body, "moved");
   EXPECT_EQ(before.seen.Get().watches.size(), 1u) << "the old address is left alone";
-  child.Signal(SIGTERM);
-  EXPECT_EQ(child.Wait(), 0);
+  process.Signal(SIGTERM);
+  EXPECT_EQ(process.Reap(), 0);
 }
 
 TEST(Process, OutlivesRunningOutOfDescriptors) {
@@ -222,9 +170,8 @@
       ConfigJson(discovery.address(), Members(MemberJson("s-1", backend.address()))).dump());
   const LeasedPort port;
   const auto address = port.tcp();
-  Child child(
-      {{"ROUTER_CONFIG", file.path}, {"ROUTER_LISTEN", "127.0.0.1:" + std::to_string(address.port())}},
-      /*descriptors=*/24);
+  const auto process = StartWithin(
+      24, {{"ROUTER_CONFIG", file.path}, {"ROUTER_LISTEN", "127.0.0.1:" + std::to_string(address.port())}});
   ASSERT_TRUE(WaitUntilReady(address));
   {
     std::vector<std::unique_ptr<Client>> many;
@@ -233,8 +180,8 @@
   }
   Client client(address);
   EXPECT_EQ(client.Ask(Look()).result_int(), 200u);
-  child.Signal(SIGTERM);
-  EXPECT_EQ(child.Wait(), 0);
+  process->Signal(SIGTERM);
+  EXPECT_EQ(process->Reap(), 0);
 }
 
 TEST(Process, AnswersOperatorsWithItsDescriptorsUsedUpByClients) {
@@ -245,10 +192,9 @@
   auto config = ConfigJson(discovery.address(), Members(MemberJson("s-1", backend.address())));
   config["ops"] = "127.0.0.1:9";  // the environment goes before it
   const ConfigFile file(config.dump());
-  Child child({{"ROUTER_CONFIG", file.path},
-               {"ROUTER_LISTEN", "127.0.0.1:" + std::to_string(address.port())},
-               {"ROUTER_OPS", "127.0.0.1:" + std::to_string(operators.port())}},
-              /*descriptors=*/48);
+  const auto process = StartWithin(48, {{"ROUTER_CONFIG", file.path},
+                                        {"ROUTER_LISTEN", "127.0.0.1:" + std::to_string(address.port())},
+                                        {"ROUTER_OPS", "127.0.0.1:" + std::to_string(operators.port())}});
   ASSERT_TRUE(WaitUntilReady(address));
   std::vector<std::unique_ptr<Client>> many;
   for (int i = 0; i < 100; ++i) {
@@ -256,32 +202,21 @@
     many.back()->Send("GET /look");
   }
   for (int i = 0; i < 40; ++i) EXPECT_EQ(CallOperators(operators, "PING\n"), "ACK taking clients\n");
-  child.Signal(SIGTERM);
-  EXPECT_EQ(child.Wait(), 0);
+  process->Signal(SIGTERM);
+  EXPECT_EQ(process->Reap(), 0);
 }
 
 // ---- upgrade ------------------------------------------------------------------------------------------
-class Folder {
- public:
-  Folder() {
-    char name[] = "/tmp/kestrelline-test-XXXXXX";
-    if (!mkdtemp(name)) throw std::runtime_error("no folder");
-    path = name;
-  }
-  ~Folder() { std::filesystem::remove_all(path); }
-  std::string path;
-};
-
 // A proxy that may run twice, each process with an operators' address of its own.
 struct Upgrade {
   Upgrade() { config["ops"] = "127.0.0.1:9"; }
-  std::unique_ptr<Child> Start(const Tcp::endpoint& operators) {
+  std::unique_ptr<Process> Start(const Tcp::endpoint& operators) {
     if (!file) file = std::make_unique<ConfigFile>(config.dump());
-    return std::make_unique<Child>(
-        std::map<std::string, std::string>{{"ROUTER_CONFIG", file->path},
-                                           {"ROUTER_LISTEN", "127.0.0.1:" + std::to_string(address.port())},
-                                           {"ROUTER_OPS", "127.0.0.1:" + std::to_string(operators.port())},
-                                           {"TMPDIR", folder.path}});
+    return std::make_unique<Process>(PROXY_PATH, std::vector<std::string>{},
+                                     Env{{"ROUTER_CONFIG", file->path},
+                                         {"ROUTER_LISTEN", "127.0.0.1:" + std::to_string(address.port())},
+                                         {"ROUTER_OPS", "127.0.0.1:" + std::to_string(operators.port())},
+                                         {"TMPDIR", folder.path}});
   }
   // Waits until the call is answered so.
   static bool Answers(const Tcp::endpoint& operators, const std::string& call, const std::string& answer) {
@@ -330,7 +265,7 @@
   const auto after = site.Start(site.new_operators);
   EXPECT_TRUE(Upgrade::Answers(site.new_operators, kPing, kPingYes));
   before->Signal(SIGTERM);
-  EXPECT_EQ(before->Wait(), 0);
+  EXPECT_EQ(before->Reap(), 0);
   EXPECT_EQ(ReadyStatus(site.address), 200u);
   over.Do([](bool& o) { o = true; });
   clients.join();
@@ -339,7 +274,7 @@
   EXPECT_EQ(not_ready, 0);
   EXPECT_EQ(CallOperators(site.new_operators, kPing), kPingYes);
   after->Signal(SIGTERM);
-  EXPECT_EQ(after->Wait(), 0);
+  EXPECT_EQ(after->Reap(), 0);
 }
 
 TEST(Upgrade, AKeptConnectionIsServedOnceMoreByTheOldProcess) {
@@ -356,7 +291,7 @@
   std::this_thread::sleep_for(std::chrono::milliseconds(800));  // the old listener is closed long since
   EXPECT_EQ(kept.Ask(Look()).result_int(), 200u);
   EXPECT_TRUE(kept.Ended());
-  EXPECT_EQ(before->Wait(), 0);
+  EXPECT_EQ(before->Reap(), 0);
 }
 
 TEST(Upgrade, MaintenanceHoldsInBothProcessesAndInTheNextOne) {
@@ -376,7 +311,7 @@
   EXPECT_EQ(CallOperators(site.new_operators, "DETACH s-2\n"), "ACK detached\n");
   EXPECT_FALSE(gets(site.two)) << "in the old process, too";
   before->Signal(SIGKILL);
-  before->Wait();
+  before->Reap();
   before = site.Start(site.old_operators);
   ASSERT_TRUE(Upgrade::Answers(site.old_operators, kPing, kPingYes));
   EXPECT_FALSE(gets(site.two));
