Lease the tests' ports by a lock on a byte of a file, not by Unix sockets

The project has no Unix sockets. A port is now a lock of an open file on the byte of its number in one file of the temporary folder: it excludes holders within a process and between processes, leaves no files behind and ends with its process. Not taken: a lock file for each port, which leaves thousands of files, or POSIX record locks, which do not exclude two holders in one process.

--- a/tests/fleet/harness_test.cpp
+++ b/tests/fleet/harness_test.cpp
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 
 #include <cerrno>
+#include <cstdlib>
 #include <set>
 
 #include "loopback.h"
@@ -73,5 +74,20 @@
   EXPECT_FALSE(member.process->WaitFor("no such event", 0, milliseconds(50)));
 }
 
+TEST(Harness, TheEnvironmentGivenTakesThePlaceOfTheTests) {
+  ::setenv("FLEET_HARNESS_TEST", "mine", 1);
+  Process process("/usr/bin/printenv", {"FLEET_HARNESS_TEST"}, {{"FLEET_HARNESS_TEST", "given"}});
+  EXPECT_EQ(process.LinesAtEnd(), std::vector<std::string>{"given"});
+  EXPECT_EQ(process.Reap(), 0);
+}
+
+// Of 20,000 numbers 400 drawn at random would hardly ever all differ.
+TEST(LeasedPort, NoNumberHasTwoHolders) {
+  std::set<unsigned short> numbers;
+  std::vector<LeasedPort> ports(400);
+  for (const LeasedPort& port : ports) numbers.insert(port.port());
+  EXPECT_EQ(numbers.size(), ports.size());
+}
+
 }  // namespace
 }  // namespace brackenspoke::testing::fleet
--- a/tests/leased_port.h
+++ b/tests/leased_port.h
@@ -4,14 +4,13 @@
 #ifndef BRACKENSPOKE_TESTS_LEASED_PORT_H_
 #define BRACKENSPOKE_TESTS_LEASED_PORT_H_
 
-#include <sys/socket.h>
-#include <sys/un.h>
+#include <fcntl.h>
 #include <unistd.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
-#include <cstring>
+#include <filesystem>
 #include <random>
 #include <stdexcept>
 #include <string>
@@ -19,48 +18,57 @@
 
 namespace brackenspoke::testing {
 
-// A TCP and UDP port of loopback that no other test of this machine has until this goes, also while nothing
-// is bound to it. It lies below the ports that Linux gives to sockets by itself (from 32768 on), and is taken
-// by the name of a Unix socket without a file, which ends with the process. The constructor throws
-// std::runtime_error if there is none.
+// A TCP and UDP port of loopback that no other test with the same temporary folder has until this goes, also
+// while nothing is bound to it. It lies below the ports that Linux gives to sockets by itself (from 32768
+// on). It is taken by a lock on the byte of its number in a file that all share, which the kernel gives back
+// when the process ends, however it ends. The constructor throws std::runtime_error if there is none.
 class LeasedPort {
  public:
-  LeasedPort() {
+  LeasedPort() : file_(::open(File().c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0666)) {
+    if (file_ < 0) throw std::runtime_error("no file to lock ports in: " + File());
     static std::mt19937 random{std::random_device{}()};
     std::uniform_int_distribution<int> any(kFirst, kLast);
-    for (int tries = 0; tries < 1000 && lock_ < 0; ++tries) Try(static_cast<unsigned short>(any(random)));
-    if (lock_ < 0) throw std::runtime_error("no free port");
+    for (int tries = 0; tries < 1000; ++tries) {
+      if (Take(static_cast<unsigned short>(any(random)))) return;
+    }
+    ::close(file_);
+    throw std::runtime_error("no free port");
   }
-  LeasedPort(LeasedPort&& other) noexcept : port_(other.port_), lock_(std::exchange(other.lock_, -1)) {}
+  LeasedPort(LeasedPort&& other) noexcept : port_(other.port_), file_(std::exchange(other.file_, -1)) {}
   LeasedPort& operator=(LeasedPort&& other) noexcept {
     std::swap(port_, other.port_);
-    std::swap(lock_, other.lock_);
+    std::swap(file_, other.file_);
     return *this;
   }
   ~LeasedPort() {
-    if (lock_ >= 0) ::close(lock_);
+    if (file_ >= 0) ::close(file_);
   }
 
   unsigned short port() const { return port_; }
   boost::asio::ip::tcp::endpoint tcp() const { return {boost::asio::ip::make_address("127.0.0.1"), port_}; }
 
+  // The file that the locks are on.
+  static std::string File() { return std::filesystem::temp_directory_path() / "flintspar-test-ports"; }
+
  private:
   static constexpr int kFirst = 12000, kLast = 31999;
 
-  void Try(unsigned short port) {
-    const std::string name = "flintspar-test-port-" + std::to_string(port);
-    sockaddr_un address{};
-    address.sun_family = AF_UNIX;
-    std::memcpy(address.sun_path + 1, name.data(), name.size());
-    const auto size = static_cast<socklen_t>(offsetof(sockaddr_un, sun_path) + 1 + name.size());
-    const int lock = ::socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    if (lock < 0) throw std::runtime_error("no socket for a port");
+  bool Take(unsigned short port) {
     port_ = port;
-    if (::bind(lock, reinterpret_cast<const sockaddr*>(&address), size) == 0 && Unbound()) {
-      lock_ = lock;
-    } else {
-      ::close(lock);
-    }
+    if (!Lock(F_WRLCK)) return false;
+    if (Unbound()) return true;
+    Lock(F_UNLCK);
+    return false;
+  }
+
+  // A lock of this open file, not of the process: two ports of one process exclude each other, too.
+  bool Lock(short type) const {
+    struct flock byte {};
+    byte.l_type = type;
+    byte.l_whence = SEEK_SET;
+    byte.l_start = port_;
+    byte.l_len = 1;
+    return ::fcntl(file_, F_OFD_SETLK, &byte) == 0;
   }
 
   bool Unbound() const {
@@ -74,7 +82,7 @@
   }
 
   unsigned short port_ = 0;
-  int lock_ = -1;
+  int file_ = -1;
 };
 
 }  // namespace brackenspoke::testing
