--- a/src/proxy/core/requests.cpp
+++ b/src/proxy/core/requests.cpp
@@ -12,6 +12,13 @@
 #include "fleet_link/fleet_link.h"
 
 namespace brackenspoke::proxy {
+namespace {
+
+bool NeverRan(Outcome outcome) {
+  return outcome == Outcome::kFull || outcome == Outcome::kConnectFailed || outcome == Outcome::kMoot;
+}
+
+}  // namespace
 
 RequestId Requests::OnRequest(ClientRequest&& request, std::shared_ptr<Responder>&& responder) {
   const RequestId id = pending_.NextId();
@@ -52,7 +59,7 @@
 
 void Requests::OnClientGone(RequestId request) {
   if (!pending_.Conclude(request)) return;
-  federation_.CreditIfNotRun(*pending_.Find(request), false);
+  federation_.CreditIfNotRun(*pending_.Find(request));
   pending_.ForgetIfOver(request);
   federation_.Gone(request);
   module_.Feed(ClientGone{request});
@@ -96,12 +103,12 @@
 
 void Requests::Do(const Refuse& action) {
   if (!federation_.Spill(action.request, action.retry_after))
-    federation_.Refuse(action.request, action.retry_after);
+    federation_.AnswerRefused(action.request, action.retry_after);
 }
 
 void Requests::Do(const Fail& action) {
   if (const auto responder = pending_.Conclude(action.request)) {
-    federation_.CreditIfNotRun(*pending_.Find(action.request), false);
+    federation_.CreditIfNotRun(*pending_.Find(action.request));
     responder->Failed();
   }
   pending_.ForgetIfOver(action.request);
@@ -125,6 +132,7 @@
   Pending* const pending = pending_.Find(request);
   if (pending) {
     pending->attempt_out = false;
+    pending->may_have_run |= !NeverRan(result.outcome);
     const bool passed_on = pending->first_bytes.count() > 0;
     end.took = passed_on ? pending->first_bytes : Duration(Steady::now() - pending->sent_at);
     end.repeatable = !pending->body || !pending->body->Spent();
--- a/src/proxy/federation/link.h
+++ b/src/proxy/federation/link.h
@@ -42,12 +42,12 @@
   // Charges the request to its owner's budget. False if it has had its answer: that budget is used up and
   // refuses.
   bool Admit(const ClientRequest& request, Responder& responder, Pending* pending, Submit* submit);
-  // Gives the charge back if the request was never sent, or is `proven` not to have run.
-  void CreditIfNotRun(const Pending& pending, bool proven);
-  // Offers what the module has refused; false if it is not to be had whole.
+  // Gives the charge back unless an attempt, or a neighbour, may have run the request.
+  void CreditIfNotRun(const Pending& pending);
+  // Offers what the module has refused; false if it is not to be had whole, or may have run here.
   bool Spill(RequestId request, Duration retry_after);
   // The final answer to what nobody takes.
-  void Refuse(RequestId request, Duration retry_after);
+  void AnswerRefused(RequestId request, Duration retry_after);
   // Its client is not there any more.
   void Gone(RequestId request);
 
@@ -65,7 +65,7 @@
   brackenspoke::Spare SpareNow() const override;
   void OnSpillBegun(RequestId request, AnswerHead head) override;
   void OnSpillServed(RequestId request, HttpResponse answer, Buffers::Hold hold) override;
-  void OnSpillRefused(RequestId request, Duration retry_after) override { Refuse(request, retry_after); }
+  void OnSpillRefused(RequestId request, Duration retry_after) override;
   void OnSpillFailed(RequestId request) override;
 
   ModuleDriver& module_;
