Let a machine of the model take a request once though its process restarts

Over connections, for which the packets stand, that cannot be. The ledger now keeps what has come to which machine. The site's test follows the gateway's hooks.

--- a/model/site/gateway.cpp
+++ b/model/site/gateway.cpp
@@ -81,7 +81,7 @@
 }
 
 void GatewayProgram::OnAsk(const Packet& packet, const ClientAsk& ask) {
-  if (!seen_.emplace(ask.call, ask.tried).second) return;
+  if (!ledger_.First(packet.from, host_.Address(), ask.call, ask.tried)) return;
   const RequestId id = ++last_;
   Request& request = requests_[id];
   request.ask = ask;
--- a/model/site/gateway.h
+++ b/model/site/gateway.h
@@ -7,7 +7,6 @@
 
 #include <deque>
 #include <map>
-#include <set>
 #include <utility>
 #include <vector>
 
@@ -105,7 +104,6 @@
   RequestId last_;  // those of two lives differ
   std::map<RequestId, Request> requests_;
   std::map<RequestId, std::pair<int, ServerId>> out_;  // the attempt under way
-  std::set<std::pair<CallId, int>> seen_;
   std::multimap<Time, Wake> wakes_;
 };
 
--- a/model/site/ledger.h
+++ b/model/site/ledger.h
@@ -8,7 +8,9 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -29,6 +31,11 @@
     Ending ending = Ending::kExpired;
   };
 
+  // A request comes to a machine over a connection, so once, whatever becomes of the process meanwhile.
+  // False: this is another copy of its packet. `number` and `part` tell apart what `from` sends to `to`.
+  bool First(const Endpoint& from, const Endpoint& to, std::uint64_t number, int part) {
+    return delivered_.emplace(from, to, number, part).second;
+  }
   void Asked(CallId id, Call call) { calls_[id] = std::move(call); }
   void Ran(CallId id, int tried) {
     Call& call = calls_[id];
@@ -79,6 +86,7 @@
 
  private:
   std::map<CallId, Call> calls_;
+  std::set<std::tuple<Endpoint, Endpoint, std::uint64_t, int>> delivered_;
 };
 
 }  // namespace brackenspoke::model
--- a/model/site/server.cpp
+++ b/model/site/server.cpp
@@ -17,7 +17,7 @@
 
 void StandServer::Receive(const Packet& packet) {
   const auto* ask = std::any_cast<ServerAsk>(packet.content.get());
-  if (!ask || !seen_.emplace(packet.from, ask->request, ask->attempt).second) return;
+  if (!ask || !ledger_.First(packet.from, host_.Address(), ask->request, ask->attempt)) return;
   Job job{packet.from, *ask, host_.Now() + ask->left};
   if (running_.size() < options_.cores) return Start(std::move(job));
   if (waiting_.size() >= options_.queue) return Answer(job, Outcome::kFull);
--- a/model/site/server.h
+++ b/model/site/server.h
@@ -6,8 +6,6 @@
 
 #include <deque>
 #include <map>
-#include <set>
-#include <tuple>
 
 #include "model/site/ledger.h"
 #include "model/site/traffic.h"
@@ -47,7 +45,6 @@
   const Time started_;
   std::multimap<Time, Job> running_;  // by their ends
   std::deque<Job> waiting_;
-  std::set<std::tuple<Endpoint, RequestId, int>> seen_;
 };
 
 }  // namespace brackenspoke::model
--- a/tests/model/site_test.cpp
+++ b/tests/model/site_test.cpp
@@ -106,11 +106,12 @@
   int arrivals = 0, refusals = 0;
 
  protected:
-  void OnArrival(const Request&, Submit* submit) override {
+  bool OnArrival(RequestId, Request& request) override {
     ++arrivals;
-    submit->share = Share::kInside;
+    request.submit.share = Share::kInside;
+    return true;
   }
-  bool OnRefused(RequestId id, const Request&, Span) override {
+  bool OnRefused(RequestId id, Request&, Span) override {
     if (++refusals % 2 == 0) return false;
     Finish(id, Ending::kFailed);
     return true;
