--- a/model/system/checks.h
+++ b/model/system/checks.h
@@ -27,7 +27,9 @@
   static constexpr Moment kSample = std::chrono::milliseconds(100);
 
   // `skew_kept`: all wall clocks are within spill::Options::most_skew of each other throughout.
-  Checks(const Wiring& wiring, bool skew_kept) : wiring_(wiring), skew_kept_(skew_kept) {}
+  // `tokens_grow`: tokens are kept, by disks or by wall clocks, as docs/leases.md has it.
+  Checks(const Wiring& wiring, bool skew_kept, bool tokens_grow)
+      : wiring_(wiring), skew_kept_(skew_kept), tokens_grow_(tokens_grow) {}
   // Before the first event; `federation` is of SystemGateways and outlives this.
   void Watch(Federation& federation);
 
@@ -72,7 +74,7 @@
   void CheckBudgets(const Ledger& ledger);
 
   const Wiring& wiring_;
-  const bool skew_kept_;
+  const bool skew_kept_, tokens_grow_;
   Federation* federation_ = nullptr;
   std::map<std::pair<std::size_t, std::string>, fleet::Token> tokens_;  // by pool and duty
   std::map<std::string, std::vector<Charge>> charges_;                  // by partner, in their order
--- /dev/null
+++ b/model/system/mutants/credit_all.sed
@@ -0,0 +1,2 @@
+# A credit puts back all, whatever was spent since.
+/most = std::min(most, Room(g))/d
--- /dev/null
+++ b/model/system/mutants/full_bucket.sed
@@ -0,0 +1,2 @@
+# A bucket is full at each new draw.
+s/level_ = std::min(level_, depth_);/level_ = depth_;/
--- /dev/null
+++ b/model/system/mutants/over_budget_spilled.sed
@@ -0,0 +1,2 @@
+# What is over its partner's budget is spilled.
+/kOverBudget;/d
--- a/model/system/scenario.cpp
+++ b/model/system/scenario.cpp
@@ -179,6 +179,11 @@
   return forward + back < static_cast<double>(wiring.spill.most_skew.count()) / 2;
 }
 
+bool LosesDisks(const std::vector<Fault>& faults) {
+  return std::any_of(faults.begin(), faults.end(),
+                     [](const Fault& fault) { return fault.kind == FaultKind::kCrashNoDisk; });
+}
+
 void Schedule(std::uint64_t seed, const SystemOptions& options, Scene& scene) {
   Dice dice(seed, kLoads);
   World& world = scene.world();
--- a/model/system/scenario.h
+++ b/model/system/scenario.h
@@ -32,6 +32,8 @@
 // Whether, with these faults, all wall clocks stay within Options::most_skew of each other.
 bool SkewKept(std::uint64_t seed, const std::vector<Fault>& faults, const Wiring& wiring);
 
+bool LosesDisks(const std::vector<Fault>& faults);
+
 // Loads, partners and operators' drains of the whole run, to happen at their moments.
 void Schedule(std::uint64_t seed, const SystemOptions& options, Scene& scene);
 
