Keep tokens and facts of thousands of duties, and refuse what cannot be passed on

Shared state remembered the tokens of 16 duties: a federation of more sites had no estimates of the rest. A token is now kept for 24 h from the last fact of its duty, as long as anything written under a smaller one could last, for up to 4,096 duties; 16,384 facts are held, which were not bounded at all.

Found on the way and mended: a fact held under an older token stayed where it had come first and was refused where it came later, so that two members' digests differed until its end; an entry too large for any message was written and refused by all others in silence, and one too large for the room left held back all behind it.

100 sites' facts are held by both of two members (16 before); of 40 random facts of two duties under four tokens two members hold the same after one exchange, which fails without the drop of fenced facts.

--- a/model/fleet/member.cpp
+++ b/model/fleet/member.cpp
@@ -106,9 +106,9 @@
 void PoolMember::Publish(const std::string& duty, const std::string& key, nlohmann::json value, Span lasts) {
   if (!Holds(duty)) return;
   const fleet::UnixMs now = host_.Wall();
-  state_.Write(now, fleet::DutyFact{duty, key, leases_->token(duty),
-                                    now + static_cast<fleet::UnixMs>(Milliseconds(lasts)), std::move(value)});
-  PushState();
+  fleet::DutyFact fact{duty, key, leases_->token(duty), now + static_cast<fleet::UnixMs>(Milliseconds(lasts)),
+                       std::move(value)};
+  if (!state_.Write(now, std::move(fact))) PushState();
 }
 
 bool PoolMember::Holds(const std::string& duty) const {
--- a/src/fleet/node/state_exchange.cpp
+++ b/src/fleet/node/state_exchange.cpp
@@ -108,7 +108,8 @@
 void StateExchange::Tell(KeySite site) { state_.Write(UnixMilliseconds(), std::move(site)); }
 
 void StateExchange::Tell(DutyFact fact) {
-  state_.Write(UnixMilliseconds(), std::move(fact));
+  const std::string key = fact.key;
+  if (const auto why = state_.Write(UnixMilliseconds(), std::move(fact))) return Refused(key, name_, *why);
   Push();
 }
 
--- a/src/fleet/state/entry.h
+++ b/src/fleet/state/entry.h
@@ -15,6 +15,12 @@
 
 using UnixMs = std::uint64_t;
 
+inline constexpr std::size_t kMostEntry = 1024;           // bytes, packed: fits any message of the state
+inline constexpr std::size_t kMostValue = 800;            // bytes of a duty's fact, packed
+inline constexpr UnixMs kLongestFact = 24 * 3600 * 1000;  // from a duty's fact to its end
+inline constexpr std::size_t kMostDuties = 4096;          // whose tokens are remembered
+inline constexpr std::size_t kMostFacts = 16384;          // of all duties
+
 // A member has taken a server out: on `failures` of `attempts`, until then.
 struct Verdict {
   std::string server;  // discovery's id
--- a/src/fleet/state/state.cpp
+++ b/src/fleet/state/state.cpp
@@ -12,12 +12,10 @@
 
 using nlohmann::json;
 
-constexpr std::array<std::string_view, kRefusals> kRefusalNames{"older", "off",    "malformed",   "unlisted",
-                                                                "stale", "future", "implausible", "fenced"};
+constexpr std::array<std::string_view, kRefusals> kRefusalNames{
+    "older", "off", "malformed", "unlisted", "stale", "future", "implausible", "fenced", "oversized", "full"};
 constexpr std::size_t kArrayBytes = 3;
-constexpr std::size_t kMostValue = 800;            // bytes of a duty's fact, packed
-constexpr std::size_t kMostDuties = 16;            // whose tokens are remembered
-constexpr UnixMs kLongestFact = 24 * 3600 * 1000;  // from a duty's fact to its end
+constexpr int kMostMisfits = 16;  // entries that are too large for what room is left, passed over
 
 }  // namespace
 
@@ -39,6 +37,7 @@
 }
 
 void SharedState::Expire(UnixMs now) {
+  fences_.Expire(now);
   while (!by_expiry_.empty() && by_expiry_.begin()->first <= now) Drop(Key(by_expiry_.begin()->second));
 }
 
@@ -46,6 +45,7 @@
   const auto found = held_.find(key);
   if (found == held_.end()) return;
   sites_ -= std::holds_alternative<KeySite>(found->second.entry.fact);
+  facts_ -= std::holds_alternative<DutyFact>(found->second.entry.fact);
   by_expiry_.erase({ExpiresAt(found->second.entry), key});
   to_pass_on_.erase({found->second.transmits, key});
   held_.erase(found);
@@ -64,9 +64,26 @@
     }
     ++sites_;
   }
+  facts_ += std::holds_alternative<DutyFact>(entry.fact);
   by_expiry_.emplace(ExpiresAt(entry), key);
   to_pass_on_.emplace(0, key);
-  held_[key] = {std::move(entry), 0};
+  const std::size_t size = PackedSize(Pack(entry));
+  held_[key] = {std::move(entry), size, 0};
+}
+
+// What is held under a smaller token goes, as those refuse it that come to know of it later: all hold the
+// same.
+void SharedState::PutFact(Entry entry) {
+  const DutyFact& fact = std::get<DutyFact>(entry.fact);
+  if (fences_.Raise(fact.duty, fact.token, MillisecondsOf(entry.version.stamp))) {
+    std::vector<Key> fenced;
+    for (const auto& [key, held] : held_) {
+      const auto* other = std::get_if<DutyFact>(&held.entry.fact);
+      if (other && other->duty == fact.duty && other->token < fact.token) fenced.push_back(key);
+    }
+    for (const Key& key : fenced) Drop(key);
+  }
+  Put(std::move(entry));
 }
 
 void SharedState::Write(UnixMs now, Verdict verdict) {
@@ -81,26 +98,33 @@
   Put({std::move(site), {clock_.Now(now), options_.name}});
 }
 
-void SharedState::Write(UnixMs now, DutyFact fact) {
+std::optional<Refusal> SharedState::Write(UnixMs now, DutyFact fact) {
   Expire(now);
-  std::uint64_t& fence = fences_[fact.duty];
-  fence = std::max(fence, fact.token);
-  Put({std::move(fact), {clock_.Now(now), options_.name}});
+  Entry entry{std::move(fact), {clock_.Now(now), options_.name}};
+  if (const auto why = JudgeFact(entry)) return why;
+  PutFact(std::move(entry));
+  return std::nullopt;
+}
+
+std::optional<Refusal> SharedState::JudgeFact(const Entry& entry) const {
+  const DutyFact& fact = std::get<DutyFact>(entry.fact);
+  if (fact.until > MillisecondsOf(entry.version.stamp) + kLongestFact) return Refusal::kImplausible;
+  if (PackedSize(fact.value) > kMostValue || PackedSize(Pack(entry)) > kMostEntry) return Refusal::kOversized;
+  if (fact.token < fences_.Of(fact.duty)) return Refusal::kFenced;
+  if (!fences_.HasRoomFor(fact.duty) || (facts_ >= kMostFacts && !held_.contains(KeyOf(entry))))
+    return Refusal::kFull;
+  return std::nullopt;
 }
 
-std::optional<Refusal> SharedState::JudgeDuty(UnixMs now, const DutyFact& fact,
-                                              const Version& version) const {
-  if (MillisecondsOf(version.stamp) > now + options_.most_skew) return Refusal::kFuture;
+std::optional<Refusal> SharedState::JudgeDuty(UnixMs now, const Entry& entry) const {
+  const DutyFact& fact = std::get<DutyFact>(entry.fact);
+  if (MillisecondsOf(entry.version.stamp) > now + options_.most_skew) return Refusal::kFuture;
   if (fact.until <= now) return Refusal::kStale;
-  const auto fence = fences_.find(fact.duty);
-  if (fact.until > MillisecondsOf(version.stamp) + kLongestFact || PackedSize(fact.value) > kMostValue ||
-      (fence == fences_.end() && fences_.size() >= kMostDuties))
-    return Refusal::kImplausible;
-  if (fence != fences_.end() && fact.token < fence->second) return Refusal::kFenced;
-  const auto held = held_.find("d:" + fact.key);
+  if (const auto why = JudgeFact(entry)) return why;
+  const auto held = held_.find(KeyOf(entry));
   if (held == held_.end()) return std::nullopt;
   const DutyFact& before = std::get<DutyFact>(held->second.entry.fact);
-  const bool newer = std::tie(fact.token, version) > std::tie(before.token, held->second.entry.version);
+  const bool newer = std::tie(fact.token, entry.version) > std::tie(before.token, held->second.entry.version);
   return newer ? std::nullopt : std::optional(Refusal::kOlder);
 }
 
@@ -112,7 +136,7 @@
 }
 
 std::optional<Refusal> SharedState::Judge(UnixMs now, const Entry& entry) const {
-  if (const auto* fact = std::get_if<DutyFact>(&entry.fact)) return JudgeDuty(now, *fact, entry.version);
+  if (std::holds_alternative<DutyFact>(entry.fact)) return JudgeDuty(now, entry);
   const auto* verdict = std::get_if<Verdict>(&entry.fact);
   if (!(verdict ? options_.verdicts : options_.affinity_entries > 0)) return Refusal::kOff;
   if (MillisecondsOf(entry.version.stamp) > now + options_.most_skew) return Refusal::kFuture;
@@ -154,9 +178,8 @@
       continue;
     }
     clock_.See(entry.version.stamp);
-    if (const auto* fact = std::get_if<DutyFact>(&entry.fact)) fences_[fact->duty] = fact->token;
     new_verdict |= !std::holds_alternative<KeySite>(entry.fact);
-    Put(entry);
+    std::holds_alternative<DutyFact>(entry.fact) ? PutFact(entry) : Put(entry);
     host_.Taken(entry);
   }
   return new_verdict;
@@ -166,12 +189,15 @@
   json packed = json::array();
   if (room < kArrayBytes) return packed;
   room -= kArrayBytes;
+  int misfits = 0;
   for (const auto& [transmits, key] : to_pass_on_) {
-    json one = Pack(held_.at(key).entry);
-    const std::size_t size = PackedSize(one);
-    if (size > room) break;
-    room -= size;
-    packed.push_back(std::move(one));
+    const Held& held = held_.at(key);
+    if (held.size > room) {
+      if (++misfits > kMostMisfits) break;
+      continue;
+    }
+    room -= held.size;
+    packed.push_back(Pack(held.entry));
     taken->push_back(key);
   }
   return packed;
--- a/src/fleet/state/state.h
+++ b/src/fleet/state/state.h
@@ -20,13 +20,25 @@
 #include <vector>
 
 #include "fleet/state/entry.h"
+#include "fleet/state/fences.h"
 
 namespace brackenspoke::fleet {
 
 // Why an entry was not taken. kOlder, that what is held is as new or newer, and kOff, that this member does
-// not share the kind, are no faults.
-enum class Refusal { kOlder, kOff, kMalformed, kUnlisted, kStale, kFuture, kImplausible, kFenced };
-inline constexpr int kRefusals = 8;
+// not share the kind, are no faults. kFull: there are kMostFacts or kMostDuties already.
+enum class Refusal {
+  kOlder,
+  kOff,
+  kMalformed,
+  kUnlisted,
+  kStale,
+  kFuture,
+  kImplausible,
+  kFenced,
+  kOversized,
+  kFull
+};
+inline constexpr int kRefusals = 10;
 std::string_view Name(Refusal refusal);
 
 struct StateOptions {
@@ -54,10 +66,10 @@
 
   SharedState(StateOptions options, Host& host) : options_(std::move(options)), host_(host) {}
 
-  // This member's own.
+  // This member's own. A fact that the others would refuse is not taken, and the reason is returned.
   void Write(UnixMs now, Verdict verdict);
   void Write(UnixMs now, KeySite site);
-  void Write(UnixMs now, DutyFact fact);
+  [[nodiscard]] std::optional<Refusal> Write(UnixMs now, DutyFact fact);
 
   // Entries from `from`, as Fill and All made them. True if a verdict or a duty's fact among them was new.
   bool Receive(UnixMs now, const nlohmann::json& entries);
@@ -84,6 +96,7 @@
  private:
   struct Held {
     Entry entry;
+    std::size_t size = 0;  // bytes, packed
     int transmits = 0;
   };
   using Key = std::variant<std::string, std::uint64_t>;
@@ -92,10 +105,13 @@
   UnixMs ExpiresAt(const Entry& entry) const;
   void Expire(UnixMs now);
   void Put(Entry entry);
+  void PutFact(Entry entry);
   void Drop(const Key& key);
   // Packs entries that are to be passed on, those first that have been least; `taken` gets their keys.
   nlohmann::json Take(std::size_t room, std::vector<Key>* taken) const;
-  std::optional<Refusal> JudgeDuty(UnixMs now, const DutyFact& fact, const Version& version) const;
+  std::optional<Refusal> JudgeDuty(UnixMs now, const Entry& entry) const;
+  // By what holds for this member's own, too.
+  std::optional<Refusal> JudgeFact(const Entry& entry) const;
   // Nothing if the entry is to be taken.
   std::optional<Refusal> Judge(UnixMs now, const Entry& entry) const;
   std::optional<Refusal> JudgeVerdict(const Verdict& verdict, Stamp stamp) const;
@@ -107,8 +123,8 @@
   std::map<Key, Held> held_;
   std::set<std::pair<UnixMs, Key>> by_expiry_;
   std::set<std::pair<int, Key>> to_pass_on_;  // by how often each has been
-  std::size_t sites_ = 0;
-  std::map<std::string, std::uint64_t> fences_;  // the largest token seen of each duty
+  std::size_t sites_ = 0, facts_ = 0;
+  Fences fences_;
   std::array<std::uint64_t, kRefusals> refused_{};
 };
 
--- a/tests/fleet/state_test.cpp
+++ b/tests/fleet/state_test.cpp
@@ -1,7 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 //
-// Shared state among real processes, with faults between them; and of the registers alone what processes
-// cannot be brought to show.
+// Shared state among real processes, with faults between them.
 #include "fleet/state/state.h"
 
 #include <gtest/gtest.h>
@@ -261,89 +260,5 @@
   }
 }
 
-// A member's registers alone.
-struct Registers : fl::SharedState::Host {
-  explicit Registers(const std::string& name) : state(Options(name), *this) {}
-  static fl::StateOptions Options(const std::string& name) {
-    fl::StateOptions options;
-    options.name = name;
-    options.affinity_entries = 3;
-    options.longest_ejection = 20000;
-    options.way = 400;
-    return options;
-  }
-  bool Listed(const std::string&) const override { return true; }
-  void Taken(const fl::Entry& entry) override { taken.push_back(entry); }
-  void Refused(const std::string&, const std::string&, fl::Refusal why) override { refused.push_back(why); }
-  void HearAll(Registers& from, fl::UnixMs now) {
-    for (const auto& piece : from.state.All(now, 1000)) state.Receive(now, piece);
-  }
-  std::vector<fl::Entry> taken;
-  std::vector<fl::Refusal> refused;
-  fl::SharedState state;
-};
-
-TEST(Registers, TheLaterWriteWinsAtBothWhateverTheOrderAndDigestsAgree) {
-  Registers a("a"), b("b");
-  constexpr fl::UnixMs kNow = 1700000000000;
-  a.state.Write(kNow, fl::Verdict{"s-1", kNow + 2000, 3, 3});
-  b.state.Write(kNow + 1, fl::Verdict{"s-1", kNow + 4000, 5, 6});
-  EXPECT_NE(a.state.Digest(kNow + 2), b.state.Digest(kNow + 2));
-  b.HearAll(a, kNow + 2);
-  EXPECT_TRUE(b.taken.empty()) << "older than its own";
-  a.HearAll(b, kNow + 2);
-  ASSERT_EQ(a.taken.size(), 1u);
-  EXPECT_EQ(std::get<fl::Verdict>(a.taken[0].fact).attempts, 6);
-  EXPECT_EQ(a.state.Digest(kNow + 2), b.state.Digest(kNow + 2));
-  a.state.Write(kNow - 500, fl::Verdict{"s-1", kNow + 3000, 2, 2});
-  b.HearAll(a, kNow + 3);
-  EXPECT_EQ(b.taken.size(), 1u) << "a clock that is behind follows what it has seen";
-}
-
-TEST(Registers, NothingOutlivesItsBoundAndTheMapOfKeysItsSize) {
-  Registers a("a"), b("b");
-  constexpr fl::UnixMs kNow = 1700000000000;
-  a.state.Write(kNow, fl::Verdict{"s-1", kNow + 2000, 3, 3});
-  for (std::uint64_t key = 1; key <= 5; ++key) a.state.Write(kNow + key, fl::KeySite{key, "s-2"});
-  EXPECT_EQ(a.state.Summarize(kNow + 10).sites, 3u);
-  EXPECT_EQ(a.state.Summarize(kNow + 10).verdicts, 1u);
-  const auto late = a.state.All(kNow + 10, 1000);
-  for (const auto& piece : late) b.state.Receive(kNow + 4005, piece);
-  EXPECT_TRUE(b.taken.empty());
-  EXPECT_EQ(b.refused, std::vector<fl::Refusal>(4, fl::Refusal::kStale));
-  EXPECT_EQ(a.state.Summarize(kNow + 4005).sites + a.state.Summarize(kNow + 4005).verdicts, 0u);
-}
-
-TEST(Registers, EntriesArePassedOnABoundedNumberOfTimesWithinTheRoom) {
-  Registers a("a");
-  constexpr fl::UnixMs kNow = 1700000000000;
-  for (int i = 0; i < 40; ++i)
-    a.state.Write(kNow, fl::Verdict{"server-" + std::to_string(i), kNow + 2000, 3, 3});
-  std::map<std::string, int> passed;
-  for (int i = 0; i < 200; ++i) {
-    const auto entries = a.state.Fill(kNow, 300, 4);
-    EXPECT_LE(nlohmann::json::to_msgpack(entries).size(), 300u);
-    for (const auto& entry : entries) ++passed[entry.at(1)];
-  }
-  EXPECT_EQ(passed.size(), 40u);
-  for (const auto& [server, times] : passed) EXPECT_EQ(times, 4) << server;
-}
-
-TEST(Registers, EntriesThatAreNoneAreCountedAndTheRestIsTaken) {
-  Registers a("a");
-  constexpr fl::UnixMs kNow = 1700000000000;
-  const std::uint64_t stamp = kNow << fl::kCounterBits;
-  const nlohmann::json entries = nlohmann::json::array({7,
-                                                        {"v"},
-                                                        {"v", "", stamp, "b", kNow + 1, 1, 1},
-                                                        {"x", "s", 1, "b"},
-                                                        {"v", "s", stamp, "b", kNow + 1, -1, 1},
-                                                        {"v", "s", stamp, "b", kNow + 1000, 3, 3}});
-  a.state.Receive(kNow, nlohmann::json::from_msgpack(nlohmann::json::to_msgpack(entries)));
-  a.state.Receive(kNow, "text");
-  EXPECT_EQ(a.refused, std::vector<fl::Refusal>(6, fl::Refusal::kMalformed));
-  EXPECT_EQ(a.taken.size(), 1u);
-}
-
 }  // namespace
 }  // namespace brackenspoke::testing::fleet
--- /dev/null
+++ b/tests/model/registers_test.cpp
@@ -0,0 +1,197 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// The registers of shared state alone: what processes cannot be brought to show.
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "fleet/state/state.h"
+#include "fleet/wire/codec.h"
+
+namespace brackenspoke::testing {
+namespace {
+
+namespace fl = brackenspoke::fleet;
+
+constexpr fl::UnixMs kNow = 1700000000000;
+
+// A member's registers alone.
+struct Registers : fl::SharedState::Host {
+  explicit Registers(const std::string& name) : state(Options(name), *this) {}
+  static fl::StateOptions Options(const std::string& name) {
+    fl::StateOptions options;
+    options.name = name;
+    options.affinity_entries = 3;
+    options.longest_ejection = 20000;
+    options.way = 400;
+    return options;
+  }
+  bool Listed(const std::string&) const override { return true; }
+  void Taken(const fl::Entry& entry) override { taken.push_back(entry); }
+  void Refused(const std::string&, const std::string&, fl::Refusal why) override { refused.push_back(why); }
+  void HearAll(Registers& from, fl::UnixMs now) {
+    for (const auto& piece : from.state.All(now, 1000)) state.Receive(now, piece);
+  }
+  std::vector<fl::Entry> taken;
+  std::vector<fl::Refusal> refused;
+  fl::SharedState state;
+};
+
+TEST(Registers, TheLaterWriteWinsAtBothWhateverTheOrderAndDigestsAgree) {
+  Registers a("a"), b("b");
+  a.state.Write(kNow, fl::Verdict{"s-1", kNow + 2000, 3, 3});
+  b.state.Write(kNow + 1, fl::Verdict{"s-1", kNow + 4000, 5, 6});
+  EXPECT_NE(a.state.Digest(kNow + 2), b.state.Digest(kNow + 2));
+  b.HearAll(a, kNow + 2);
+  EXPECT_TRUE(b.taken.empty()) << "older than its own";
+  a.HearAll(b, kNow + 2);
+  ASSERT_EQ(a.taken.size(), 1u);
+  EXPECT_EQ(std::get<fl::Verdict>(a.taken[0].fact).attempts, 6);
+  EXPECT_EQ(a.state.Digest(kNow + 2), b.state.Digest(kNow + 2));
+  a.state.Write(kNow - 500, fl::Verdict{"s-1", kNow + 3000, 2, 2});
+  b.HearAll(a, kNow + 3);
+  EXPECT_EQ(b.taken.size(), 1u) << "a clock that is behind follows what it has seen";
+}
+
+TEST(Registers, NothingOutlivesItsBoundAndTheMapOfKeysItsSize) {
+  Registers a("a"), b("b");
+  a.state.Write(kNow, fl::Verdict{"s-1", kNow + 2000, 3, 3});
+  for (std::uint64_t key = 1; key <= 5; ++key) a.state.Write(kNow + key, fl::KeySite{key, "s-2"});
+  EXPECT_EQ(a.state.Summarize(kNow + 10).sites, 3u);
+  EXPECT_EQ(a.state.Summarize(kNow + 10).verdicts, 1u);
+  const auto late = a.state.All(kNow + 10, 1000);
+  for (const auto& piece : late) b.state.Receive(kNow + 4005, piece);
+  EXPECT_TRUE(b.taken.empty());
+  EXPECT_EQ(b.refused, std::vector<fl::Refusal>(4, fl::Refusal::kStale));
+  EXPECT_EQ(a.state.Summarize(kNow + 4005).sites + a.state.Summarize(kNow + 4005).verdicts, 0u);
+}
+
+TEST(Registers, EntriesArePassedOnABoundedNumberOfTimesWithinTheRoom) {
+  Registers a("a");
+  for (int i = 0; i < 40; ++i)
+    a.state.Write(kNow, fl::Verdict{"server-" + std::to_string(i), kNow + 2000, 3, 3});
+  std::map<std::string, int> passed;
+  for (int i = 0; i < 200; ++i) {
+    const auto entries = a.state.Fill(kNow, 300, 4);
+    EXPECT_LE(nlohmann::json::to_msgpack(entries).size(), 300u);
+    for (const auto& entry : entries) ++passed[entry.at(1)];
+  }
+  EXPECT_EQ(passed.size(), 40u);
+  for (const auto& [server, times] : passed) EXPECT_EQ(times, 4) << server;
+}
+
+TEST(Registers, EntriesThatAreNoneAreCountedAndTheRestIsTaken) {
+  Registers a("a");
+  const std::uint64_t stamp = kNow << fl::kCounterBits;
+  const nlohmann::json entries = nlohmann::json::array({7,
+                                                        {"v"},
+                                                        {"v", "", stamp, "b", kNow + 1, 1, 1},
+                                                        {"x", "s", 1, "b"},
+                                                        {"v", "s", stamp, "b", kNow + 1, -1, 1},
+                                                        {"v", "s", stamp, "b", kNow + 1000, 3, 3}});
+  a.state.Receive(kNow, nlohmann::json::from_msgpack(nlohmann::json::to_msgpack(entries)));
+  a.state.Receive(kNow, "text");
+  EXPECT_EQ(a.refused, std::vector<fl::Refusal>(6, fl::Refusal::kMalformed));
+  EXPECT_EQ(a.taken.size(), 1u);
+}
+
+fl::DutyFact FactOf(std::size_t number, fl::UnixMs until = kNow + 10000) {
+  const std::string site = std::to_string(number);
+  return {"ambassador/" + site, "estimate/" + site, 1, until, {{"mean", number}}};
+}
+
+TEST(Registers, FactsOfAHundredSitesAreHeldByAll) {
+  Registers a("a"), b("b");
+  for (std::size_t site = 0; site < 100; ++site) EXPECT_FALSE(a.state.Write(kNow, FactOf(site)));
+  b.HearAll(a, kNow);
+  EXPECT_EQ(b.taken.size(), 100u);
+  EXPECT_EQ(a.state.Digest(kNow), b.state.Digest(kNow));
+}
+
+// One that makes up duties or facts fills its room and no more, and only as long as fences last.
+TEST(Registers, AFaultyPeerFillsNoMoreThanTheRoomForDutiesAndFacts) {
+  Registers faulty("faulty"), one("one");
+  const auto tell = [&](const fl::DutyFact& fact, fl::UnixMs now) {
+    one.state.Receive(now, nlohmann::json::array({fl::Pack({fact, {now << fl::kCounterBits, "faulty"}})}));
+  };
+  for (std::size_t i = 0; i < fl::kMostDuties + 100; ++i) tell(FactOf(i), kNow);
+  EXPECT_EQ(one.state.Summarize(kNow).facts, fl::kMostDuties);
+  EXPECT_EQ(one.refused, std::vector<fl::Refusal>(100, fl::Refusal::kFull));
+  for (std::size_t i = 0; i < fl::kMostFacts; ++i) {
+    fl::DutyFact fact = FactOf(1);
+    fact.key.append("/").append(std::to_string(i));
+    tell(fact, kNow);
+  }
+  EXPECT_EQ(one.state.Summarize(kNow).facts, fl::kMostFacts);
+  tell(FactOf(1), kNow + 1);
+  EXPECT_EQ(one.state.Summarize(kNow + 1).facts, fl::kMostFacts) << "what is held is renewed";
+  const fl::UnixMs later = kNow + fl::kLongestFact + 1;
+  one.refused.clear();
+  tell(FactOf(9999, later + 1000), later);
+  EXPECT_EQ(one.refused.size(), 0u);
+}
+
+TEST(Registers, AFenceHoldsUntilNothingFromBeforeItCanLast) {
+  Registers one("one");
+  const auto fact = [](std::uint64_t token, fl::UnixMs written, fl::UnixMs lasts) {
+    const fl::Entry entry{fl::DutyFact{"duty", "key", token, written + lasts, 1},
+                          {written << fl::kCounterBits, "other"}};
+    return nlohmann::json::array({fl::Pack(entry)});
+  };
+  one.state.Receive(kNow, fact(5, kNow, 1000));
+  one.state.Receive(kNow + fl::kLongestFact - 1, fact(4, kNow - 1, fl::kLongestFact));
+  EXPECT_EQ(one.taken.size(), 1u);
+  one.state.Receive(kNow + fl::kLongestFact - 1, fact(4, kNow, fl::kLongestFact));
+  EXPECT_EQ(one.refused.back(), fl::Refusal::kFenced);
+}
+
+TEST(Registers, WhatOthersWouldRefuseIsNotWritten) {
+  Registers one("one");
+  const auto write = [&](const std::string& value, std::uint64_t token, fl::UnixMs lasts) {
+    return one.state.Write(kNow, fl::DutyFact{"duty", "key", token, kNow + lasts, value});
+  };
+  EXPECT_EQ(write(std::string(fl::kMostValue, 'x'), 2, 1000), fl::Refusal::kOversized);
+  EXPECT_EQ(write("", 2, fl::kLongestFact + 1), fl::Refusal::kImplausible);
+  EXPECT_EQ(write("", 2, 1000), std::nullopt);
+  EXPECT_EQ(write("", 1, 1000), fl::Refusal::kFenced);
+}
+
+// The largest entry goes with the longest names, and does not keep back what is smaller.
+TEST(Registers, TheLargestEntryFitsAMessageAndBlocksNone) {
+  fl::Message message;
+  message.kind = fl::Message::Kind::kState;
+  message.sender = {std::string(fl::kMostName, 'n'),
+                    {boost::asio::ip::make_address("1111:2222:3333:4444:5555:6666:7777:8888"), 65535},
+                    fl::MemberState::kAlive,
+                    ~0ull,
+                    ""};
+  const std::string fleet(fl::kMostName, 'f');
+  EXPECT_GE(fl::RoomFor(fleet, message), fl::kMostEntry + 3);
+  Registers one("one");
+  const std::string key(128, 'k');
+  ASSERT_FALSE(one.state.Write(kNow, fl::DutyFact{"a", key, 1, kNow + 1000, std::string(790, 'x')}));
+  ASSERT_FALSE(one.state.Write(kNow, FactOf(1)));
+  EXPECT_EQ(one.state.Fill(kNow, 500, 4).size(), 1u);
+}
+
+// Holders of two duties, one after another, write facts that reach two members in any order, some never:
+// what they hold is the same after one exchange.
+RC_GTEST_PROP(RegistersProperty, TwoMembersAgreeAfterAnExchangeWhateverReachedThem, ()) {
+  Registers a("a"), b("b");
+  const auto count = *rc::gen::inRange(1, 40);
+  for (int i = 0; i < count; ++i) {
+    const auto token = *rc::gen::inRange<std::uint64_t>(1, 5);
+    const std::string duty(1, *rc::gen::element('x', 'y'));
+    const std::string key = duty + *rc::gen::element('1', '2', '3');
+    const fl::Entry entry{fl::DutyFact{duty, key, token, kNow + 5000, i},
+                          {(kNow << fl::kCounterBits) + *rc::gen::inRange<std::uint64_t>(0, 100), "w"}};
+    const auto packed = nlohmann::json::array({fl::Pack(entry)});
+    if (*rc::gen::arbitrary<bool>()) a.state.Receive(kNow, packed);
+    if (*rc::gen::arbitrary<bool>()) b.state.Receive(kNow, packed);
+  }
+  a.HearAll(b, kNow);
+  b.HearAll(a, kNow);
+  RC_ASSERT(a.state.Digest(kNow) == b.state.Digest(kNow));
+}
+
+}  // namespace
+}  // namespace brackenspoke::testing
