--- a/tests/model/registers_test.cpp
+++ b/tests/model/registers_test.cpp
@@ -167,7 +167,7 @@
   const std::string fleet(fl::kMostName, 'f');
   EXPECT_GE(fl::RoomFor(fleet, message), fl::kMostEntry + 3);
   Registers one("one");
-  const std::string key(128, 'k');
+  const std::string key(128, 'a');
   ASSERT_FALSE(one.state.Write(kNow, fl::DutyFact{"a", key, 1, kNow + 1000, std::string(790, 'x')}));
   ASSERT_FALSE(one.state.Write(kNow, FactOf(1)));
   EXPECT_EQ(one.state.Fill(kNow, 500, 4).size(), 1u);
