--- a/src/fleet/state/state.cpp
+++ b/src/fleet/state/state.cpp
@@ -12,12 +12,29 @@
 
 using nlohmann::json;
 
-constexpr std::array<std::string_view, kRefusals> kRefusalNames{"older", "off",    "malformed",   "unlisted",
-                                                                "stale", "future", "implausible", "fenced"};
+constexpr std::array<std::string_view, kRefusals> kRefusalNames{
+    "older", "off", "malformed", "unlisted", "stale", "future", "implausible", "fenced", "oversized", "full"};
 constexpr std::size_t kArrayBytes = 3;
-constexpr std::size_t kMostValue = 800;            // bytes of a duty's fact, packed
-constexpr std::size_t kMostDuties = 16;            // whose tokens are remembered
-constexpr UnixMs kLongestFact = 24 * 3600 * 1000;  // from a duty's fact to its end
+constexpr int kMostMisfits = 16;  // entries that are too large for what room is left, passed over
+
+// Nothing of what is out of form.
+std::optional<Entry> Read(const json& packed) {
+  try {
+    return Unpack(packed);
+  } catch (const json::exception&) {
+    return std::nullopt;
+  } catch (const std::invalid_argument&) {
+    return std::nullopt;
+  }
+}
+
+// All of the space.
+Slice Whole() {
+  Slice slice;
+  slice.buckets.set();
+  slice.to = slice.from - 1;
+  return slice;
+}
 
 }  // namespace
 
@@ -29,6 +46,11 @@
   return std::get<KeySite>(entry.fact).key;
 }
 
+std::uint64_t SharedState::PlaceOf(const Key& key) {
+  if (const auto* text = std::get_if<std::string>(&key)) return XXH64(text->data(), text->size(), 0);
+  return XXH64(&std::get<std::uint64_t>(key), sizeof(std::uint64_t), 1);
+}
+
 // The staleness bound of each kind.
 UnixMs SharedState::ExpiresAt(const Entry& entry) const {
   const UnixMs written = MillisecondsOf(entry.version.stamp);
@@ -39,6 +61,7 @@
 }
 
 void SharedState::Expire(UnixMs now) {
+  fences_.Expire(now);
   while (!by_expiry_.empty() && by_expiry_.begin()->first <= now) Drop(Key(by_expiry_.begin()->second));
 }
 
@@ -46,6 +69,7 @@
   const auto found = held_.find(key);
   if (found == held_.end()) return;
   sites_ -= std::holds_alternative<KeySite>(found->second.entry.fact);
+  facts_ -= std::holds_alternative<DutyFact>(found->second.entry.fact);
   by_expiry_.erase({ExpiresAt(found->second.entry), key});
   to_pass_on_.erase({found->second.transmits, key});
   held_.erase(found);
@@ -64,9 +88,26 @@
     }
     ++sites_;
   }
+  facts_ += std::holds_alternative<DutyFact>(entry.fact);
   by_expiry_.emplace(ExpiresAt(entry), key);
   to_pass_on_.emplace(0, key);
-  held_[key] = {std::move(entry), 0};
+  const std::size_t size = PackedSize(Pack(entry));
+  held_[key] = {std::move(entry), size, 0};
+}
+
+// What is held under a smaller token goes, as those refuse it that come to know of it later: all hold the
+// same.
+void SharedState::PutFact(Entry entry) {
+  const DutyFact& fact = std::get<DutyFact>(entry.fact);
+  if (fences_.Raise(fact.duty, fact.token, MillisecondsOf(entry.version.stamp))) {
+    std::vector<Key> fenced;
+    for (const auto& [key, held] : held_) {
+      const auto* other = std::get_if<DutyFact>(&held.entry.fact);
+      if (other && other->duty == fact.duty && other->token < fact.token) fenced.push_back(key);
+    }
+    for (const Key& key : fenced) Drop(key);
+  }
+  Put(std::move(entry));
 }
 
 void SharedState::Write(UnixMs now, Verdict verdict) {
@@ -81,26 +122,36 @@
   Put({std::move(site), {clock_.Now(now), options_.name}});
 }
 
-void SharedState::Write(UnixMs now, DutyFact fact) {
+bool SharedState::Write(UnixMs now, DutyFact fact) {
   Expire(now);
-  std::uint64_t& fence = fences_[fact.duty];
-  fence = std::max(fence, fact.token);
-  Put({std::move(fact), {clock_.Now(now), options_.name}});
+  Entry entry{std::move(fact), {clock_.Now(now), options_.name}};
+  if (const auto why = JudgeFact(entry)) {
+    Refuse(SubjectOf(entry), options_.name, *why);
+    return false;
+  }
+  PutFact(std::move(entry));
+  return true;
 }
 
-std::optional<Refusal> SharedState::JudgeDuty(UnixMs now, const DutyFact& fact,
-                                              const Version& version) const {
-  if (MillisecondsOf(version.stamp) > now + options_.most_skew) return Refusal::kFuture;
+std::optional<Refusal> SharedState::JudgeFact(const Entry& entry) const {
+  const DutyFact& fact = std::get<DutyFact>(entry.fact);
+  if (fact.until > MillisecondsOf(entry.version.stamp) + kLongestFact) return Refusal::kImplausible;
+  if (PackedSize(fact.value) > kMostValue || PackedSize(Pack(entry)) > kMostEntry) return Refusal::kOversized;
+  if (fact.token < fences_.Of(fact.duty)) return Refusal::kFenced;
+  if (!fences_.HasRoomFor(fact.duty) || (facts_ >= kMostFacts && !held_.contains(KeyOf(entry))))
+    return Refusal::kFull;
+  return std::nullopt;
+}
+
+std::optional<Refusal> SharedState::JudgeDuty(UnixMs now, const Entry& entry) const {
+  const DutyFact& fact = std::get<DutyFact>(entry.fact);
+  if (MillisecondsOf(entry.version.stamp) > now + options_.most_skew) return Refusal::kFuture;
   if (fact.until <= now) return Refusal::kStale;
-  const auto fence = fences_.find(fact.duty);
-  if (fact.until > MillisecondsOf(version.stamp) + kLongestFact || PackedSize(fact.value) > kMostValue ||
-      (fence == fences_.end() && fences_.size() >= kMostDuties))
-    return Refusal::kImplausible;
-  if (fence != fences_.end() && fact.token < fence->second) return Refusal::kFenced;
-  const auto held = held_.find("d:" + fact.key);
+  if (const auto why = JudgeFact(entry)) return why;
+  const auto held = held_.find(KeyOf(entry));
   if (held == held_.end()) return std::nullopt;
   const DutyFact& before = std::get<DutyFact>(held->second.entry.fact);
-  const bool newer = std::tie(fact.token, version) > std::tie(before.token, held->second.entry.version);
+  const bool newer = std::tie(fact.token, entry.version) > std::tie(before.token, held->second.entry.version);
   return newer ? std::nullopt : std::optional(Refusal::kOlder);
 }
 
@@ -112,7 +163,7 @@
 }
 
 std::optional<Refusal> SharedState::Judge(UnixMs now, const Entry& entry) const {
-  if (const auto* fact = std::get_if<DutyFact>(&entry.fact)) return JudgeDuty(now, *fact, entry.version);
+  if (std::holds_alternative<DutyFact>(entry.fact)) return JudgeDuty(now, entry);
   const auto* verdict = std::get_if<Verdict>(&entry.fact);
   if (!(verdict ? options_.verdicts : options_.affinity_entries > 0)) return Refusal::kOff;
   if (MillisecondsOf(entry.version.stamp) > now + options_.most_skew) return Refusal::kFuture;
@@ -139,25 +190,19 @@
     return false;
   }
   for (const json& packed : entries) {
-    Entry entry;
-    try {
-      entry = Unpack(packed);
-    } catch (const json::exception&) {
-      Refuse("", "", Refusal::kMalformed);
-      continue;
-    } catch (const std::invalid_argument&) {
+    const auto entry = Read(packed);
+    if (!entry) {
       Refuse("", "", Refusal::kMalformed);
       continue;
     }
-    if (const auto why = Judge(now, entry)) {
-      Refuse(SubjectOf(entry), entry.version.origin, *why);
+    if (const auto why = Judge(now, *entry)) {
+      Refuse(SubjectOf(*entry), entry->version.origin, *why);
       continue;
     }
-    clock_.See(entry.version.stamp);
-    if (const auto* fact = std::get_if<DutyFact>(&entry.fact)) fences_[fact->duty] = fact->token;
-    new_verdict |= !std::holds_alternative<KeySite>(entry.fact);
-    Put(entry);
-    host_.Taken(entry);
+    clock_.See(entry->version.stamp);
+    new_verdict |= !std::holds_alternative<KeySite>(entry->fact);
+    std::holds_alternative<DutyFact>(entry->fact) ? PutFact(*entry) : Put(*entry);
+    host_.Taken(*entry);
   }
   return new_verdict;
 }
@@ -166,12 +211,15 @@
   json packed = json::array();
   if (room < kArrayBytes) return packed;
   room -= kArrayBytes;
+  int misfits = 0;
   for (const auto& [transmits, key] : to_pass_on_) {
-    json one = Pack(held_.at(key).entry);
-    const std::size_t size = PackedSize(one);
-    if (size > room) break;
-    room -= size;
-    packed.push_back(std::move(one));
+    const Held& held = held_.at(key);
+    if (held.size > room) {
+      if (++misfits > kMostMisfits) break;
+      continue;
+    }
+    room -= held.size;
+    packed.push_back(Pack(held.entry));
     taken->push_back(key);
   }
   return packed;
@@ -196,22 +244,53 @@
 }
 
 std::vector<json> SharedState::All(UnixMs now, std::size_t room) {
+  return Lacking(now, json::array(), Whole(), room);
+}
+
+std::vector<json> SharedState::Lacking(UnixMs now, const json& listed, const Slice& slice, std::size_t room) {
   Expire(now);
+  std::map<Key, Version> theirs;
+  for (const json& packed : listed)
+    if (const auto entry = Read(packed)) theirs[KeyOf(*entry)] = entry->version;
   std::vector<json> pieces;
   std::size_t left = 0;
   for (const auto& [key, held] : held_) {
-    json one = Pack(held.entry);
-    const std::size_t size = PackedSize(one);
-    if (size > left) {
+    const auto other = theirs.find(key);
+    if (!slice.Holds(PlaceOf(key)) || (other != theirs.end() && other->second == held.entry.version))
+      continue;
+    if (held.size > left) {
       pieces.push_back(json::array());
       left = room - std::min(room, kArrayBytes);
     }
-    left -= std::min(left, size);
-    pieces.back().push_back(std::move(one));
+    left -= std::min(left, held.size);
+    pieces.back().push_back(Pack(held.entry));
   }
   return pieces;
 }
 
+std::vector<Piece<json>> SharedState::Unlike(UnixMs now, const Buckets& theirs, std::uint64_t start,
+                                             std::size_t room, std::size_t most) {
+  const auto unlike = Digests(now, theirs.count()).Unlike(theirs);
+  if (unlike.none()) return {};
+  std::vector<Placed<json>> all;
+  for (const auto& [key, held] : held_) {
+    const std::uint64_t place = PlaceOf(key);
+    if (unlike.test(BucketAt(place, theirs.count()))) all.push_back({place, held.size, Pack(held.entry)});
+  }
+  return CutToPieces(std::move(all), theirs.count(), unlike, start, room - std::min(room, kArrayBytes), most);
+}
+
+Buckets SharedState::Digests(UnixMs now, std::size_t count) {
+  Expire(now);
+  Buckets digests(count);
+  for (const auto& [key, held] : held_) {
+    const Version& version = held.entry.version;
+    const std::uint64_t place = PlaceOf(key);
+    digests.Add(place, XXH64(version.origin.data(), version.origin.size(), place ^ version.stamp));
+  }
+  return digests;
+}
+
 std::uint64_t SharedState::Digest(UnixMs now) {
   Expire(now);
   std::uint64_t digest = 0;
