Spill: begin sooner, let a share go into debt, keep part of it for what is worth more

- A site's being over counts from the first estimate with a lower bound of zero, which nobody takes for quiet.
An estimate of a quiet site counts as one for three intervals only, so that over settles in 2 s in place of 3.5 s.
Of two sites none waits for it.
- A share lets a request go while anything is there; the debt is paid off first.
The bound of a neighbour is the one stated: offer x window + slack + the largest request of each gateway. slack_ms is 200 by default.

--- a/model/spill/federation.h
+++ b/model/spill/federation.h
@@ -27,6 +27,7 @@
   kOff,
   kRandom,      // to any gateway of any neighbour, without estimates
   kEstimates,   // by the real Spill
+  kInformed,    // as all-knowing, but by what is so when it is sent, and with the attempts that rules allow
   kAllKnowing,  // where it is worth the offer, to the neighbour that has the most room when it arrives there
 };
 
@@ -78,13 +79,17 @@
   // For a spiller that knows all: whether the request is worth enough for what all others truly offer.
   bool WorthIt(const Ask& ask);
 
+  // Of a site's cores, those that are free, less what is on the way there; and what is.
+  int Room(std::size_t site) const { return servers_[site].free() - coming_[site]; }
+  void Coming(std::size_t site, int more) { coming_[site] += more; }
+
   // Called by gateways.
   std::uint64_t NextId() { return ++last_id_; }
   void Asked(const Ask& ask);
   void Ran(const Ask& ask);
   // Its final answer: from servers (worth counts if in time), or a refusal.
   void Answered(const Ask& ask, bool elsewhere);
-  void GivenUp(const Ask& ask);
+  void GivenUp(const Ask& ask, std::optional<spill::Why> why = std::nullopt);
   void CountSpilled(const Ask& ask);
 
  private:
@@ -95,6 +100,7 @@
   spill::Directory directory_;
   std::deque<Servers> servers_;
   std::vector<double> load_;
+  std::vector<int> coming_;
   std::vector<std::optional<Holder>> holders_;
   std::uint64_t last_token_ = 0, last_id_ = 0;
   std::vector<Tally> tallies_;
--- a/model/spill/gateway.h
+++ b/model/spill/gateway.h
@@ -48,6 +48,8 @@
   std::optional<spill::Neighbour> PickRandom(const std::set<std::string>& tried);
   // Without a network: it arrives after the way, at whichever neighbour has the most room at that moment.
   void SendKnowing(const Ask& ask);
+  // The same, to whichever has the most room now of those that it has not been to.
+  void SendInformed(const Ask& ask, std::set<std::size_t> tried);
   void Send(Pending pending);
   void Handle(const spill::Event& event, const Ask& ask);
   void Ended(spill::SpillAnswered answer);
--- a/model/spill/servers.cpp
+++ b/model/spill/servers.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "model/spill/servers.h"
 
+#include <algorithm>
+
 namespace brackenspoke::model {
 namespace {
 
@@ -42,7 +44,7 @@
 
 bool Servers::Takes(double work) {
   UpdateShare();
-  return queue_.empty() && free() > 0 && share_.Has(Time(world_.now()), work);
+  return queue_.empty() && free() > 0 && share_.Has(Time(world_.now()), std::min(work, share_.depth()));
 }
 
 bool Servers::Spilled(double work, Done done) {
--- a/model/spill/traffic.h
+++ b/model/spill/traffic.h
@@ -12,6 +12,7 @@
 
 #include "brackenspoke/balancer.h"
 #include "model/program.h"
+#include "spill/rules.h"
 
 namespace brackenspoke::model {
 
@@ -40,7 +41,20 @@
 struct Tally {
   std::uint64_t asked = 0, answered = 0, given_up = 0, spilled = 0;
   double offered = 0, own = 0, elsewhere = 0;  // worth; of the latter two what was answered within its aim
+  std::array<double, spill::kWhys> lost{};     // worth given up by estimates, by Why
+  double late = 0;                             // worth answered past its aim
   double served() const { return own + elsewhere; }
+  void Add(const Tally& other) {
+    asked += other.asked;
+    answered += other.answered;
+    given_up += other.given_up;
+    spilled += other.spilled;
+    offered += other.offered;
+    own += other.own;
+    elsewhere += other.elsewhere;
+    late += other.late;
+    for (std::size_t i = 0; i < lost.size(); ++i) lost[i] += other.lost[i];
+  }
 };
 
 // One gateway's clients: a Poisson process whose draws depend on the seed alone, so that the same requests
--- a/src/spill/estimate.cpp
+++ b/src/spill/estimate.cpp
@@ -124,12 +124,15 @@
 
 bool Estimates::Quiet(Time now, const std::string& site) const {
   const Held* held = Fresh(now, site);
-  return held && !held->estimate.over && Milliseconds(held->estimate.for_ms) >= options_.settle();
+  return held && now - held->made < options_.quiet_age() && !held->estimate.over &&
+         Milliseconds(held->estimate.for_ms) >= options_.quiet_settled();
 }
 
 bool Estimates::MaySpill(Time now, const std::string& site) const {
   const Held* held = Fresh(now, site);
-  return held && held->estimate.over && Milliseconds(held->estimate.for_ms) >= options_.settle();
+  const bool alone = fences_.size() <= 2;
+  return held && held->estimate.over &&
+         (alone || Milliseconds(held->estimate.for_ms) >= options_.over_settled());
 }
 
 }  // namespace brackenspoke::spill
--- a/src/spill/estimate.h
+++ b/src/spill/estimate.h
@@ -29,7 +29,9 @@
   std::uint64_t members = 0;  // proxies that the sum is of
   // The site is over capacity, and its gateways may spill once this has settled. Then mean and low are zero.
   bool over = false;
-  std::uint64_t for_ms = 0;  // how long `over` has been as it is, by the ambassador's monotonic clock
+  // For how long nothing has pointed the other way, by the ambassador's monotonic clock: over, since the
+  // lower bound has been zero; not over, since it last was zero or the site over. See Hysteresis::Held.
+  std::uint64_t for_ms = 0;
 
   bool operator==(const Estimate&) const = default;
 };
@@ -64,7 +66,8 @@
   // Its gateways spill nothing for as long as this estimate counts: it is not over capacity, and has not been
   // for so long that whatever said otherwise counts no longer anywhere.
   bool Quiet(Time now, const std::string& site) const;
-  // Its gateways may spill: over capacity for so long that no one takes the site for quiet any more.
+  // Its gateways may spill: over capacity for so long that no one takes the site for quiet any more. Of two
+  // sites each is the only one to spill to the other, and nobody's count matters.
   bool MaySpill(Time now, const std::string& site) const;
 
  private:
--- a/src/spill/hysteresis.h
+++ b/src/spill/hysteresis.h
@@ -22,19 +22,21 @@
       since_ = now;
     }
     if (zero == over_) {
+      if (differs_since_ && !over_) since_ = now;
       differs_since_.reset();
       return;
     }
     if (!differs_since_) differs_since_ = now;
     if (now - *differs_since_ < (zero ? zero_for_ : spare_for_)) return;
     over_ = zero;
-    since_ = now;
+    since_ = zero ? *differs_since_ : now;
     differs_since_.reset();
   }
 
   bool over() const { return over_; }
-  // How long the state has been as it is.
-  Span Held(Time now) const { return since_ ? now - *since_ : Span::zero(); }
+  // How long nothing has pointed the other way: over, since the zeros began; not over, since it was over or
+  // the last zero was seen, and not at all while there are zeros.
+  Span Held(Time now) const { return since_ && (over_ || !differs_since_) ? now - *since_ : Span::zero(); }
 
  private:
   Span zero_for_, spare_for_;
--- a/src/spill/options.h
+++ b/src/spill/options.h
@@ -4,6 +4,7 @@
 #ifndef BRACKENSPOKE_SPILL_OPTIONS_H_
 #define BRACKENSPOKE_SPILL_OPTIONS_H_
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <chrono>
@@ -22,13 +23,17 @@
   Milliseconds staleness{3000};         // an estimate as old as this counts as zero
   Milliseconds way{20};                 // from a gateway to one of another site
   double least_worth_per_work = 0;  // of a request, worth over ms of hinted work; under it none is spilled
-  Milliseconds slack{100};          // depth of a share: so long's worth of its rate
+  Milliseconds slack{200};          // depth of a share: so long's worth of its rate
   Milliseconds key_ttl{4000};       // how long a key stays with its neighbour
   Milliseconds most_skew{500};      // between two machines' wall clocks
 
-  // How long a site's being over capacity, or not, must have held before others or its own gateways act on
-  // it: any estimate that says otherwise counts no longer by then. See Estimate::over.
-  Milliseconds settle() const { return staleness + most_skew; }
+  // An estimate that says that a site is not over capacity counts for no longer than this.
+  Milliseconds quiet_age() const { return std::min(staleness, 3 * estimate_interval); }
+  // How long a site must have been over capacity before its gateways spill, and how long it must not have
+  // been before others act on it: any estimate that says otherwise counts no longer by then. See
+  // Estimate::over.
+  Milliseconds over_settled() const { return quiet_age() + most_skew; }
+  Milliseconds quiet_settled() const { return staleness + most_skew; }
 };
 
 struct Gateway {
--- a/src/spill/price.h
+++ b/src/spill/price.h
@@ -17,15 +17,19 @@
 
 class Price {
  public:
-  // A request of so much worth and work (ms; over zero) asks. Returns the chance that it is to have, from 0
-  // to 1, with `offered` ms of work a second for all.
-  double Chance(Time now, double worth, double work, double offered) {
+  struct Verdict {
+    double chance;  // that the request is to have, from 0 to 1
+    double above;   // part of what is offered that is asked for by those of higher worth, from 0 to 1
+  };
+  // A request of so much worth and work (ms; over zero) asks, with `offered` ms of work a second for all.
+  Verdict Ask(Time now, double worth, double work, double offered) {
     Fade(now);
     const int step = StepOf(worth / work);
     demand_[step] += work / kMemory.count();
     double above = 0;
     for (auto at = demand_.rbegin(); at->first > step; ++at) above += at->second;
-    return std::clamp((offered * kHeadroom - above) / demand_[step], 0.0, 1.0);
+    return {std::clamp((offered * kHeadroom - above) / demand_[step], 0.0, 1.0),
+            offered > 0 ? std::min(1.0, above / offered) : 1.0};
   }
 
  private:
--- a/src/spill/share.h
+++ b/src/spill/share.h
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 //
 // This gateway's share of what a neighbour site offers: a token bucket of hinted work (ms). Over any window W
-// it lets through at most rate x W + max(depth, the largest request).
+// it lets through at most rate x W + depth + the largest request.
 #ifndef BRACKENSPOKE_SPILL_SHARE_H_
 #define BRACKENSPOKE_SPILL_SHARE_H_
 
@@ -26,11 +26,11 @@
     level_ = std::min(level_, depth_);
   }
 
-  // Whether a request of so much work may go now: it is there, or the bucket is full and the request larger
-  // than it, so that its debt is paid off before the next.
-  bool Has(Time now, double work) {
+  // Whether so much is there, and anything at all. A request may be larger than what is there: its debt is
+  // paid off before the next.
+  bool Has(Time now, double least) {
     Advance(now, rate_);
-    return depth_ > 0 && level_ >= std::min(work, depth_);
+    return level_ > 0 && level_ >= least;
   }
   // Takes it; only after Has.
   void Take(double work) { level_ -= work; }
@@ -38,6 +38,7 @@
   // ms of hinted work; under zero while a debt is paid off.
   double level() const { return level_; }
   double rate() const { return rate_; }
+  double depth() const { return depth_; }
 
  private:
   void Advance(Time now, double rate) {
--- a/src/spill/spill.cpp
+++ b/src/spill/spill.cpp
@@ -11,6 +11,9 @@
 namespace brackenspoke::spill {
 namespace {
 
+// Of a share's depth, for requests of higher worth, when these alone ask for all that is offered (trunk
+// reservation: Kelly, "Loss networks", 1991).
+constexpr double kMostKeptFree = 0.6;
 constexpr std::chrono::seconds kLogGap{1};  // log lines of estimates not taken no closer than this
 
 }  // namespace
@@ -34,9 +37,9 @@
 
 void Spill::On(const Refused& event) {
   if (open_.contains(event.request)) return;
-  Open open{event, now_ + event.aim_left, now_ + event.deadline_left, 0, {}, {}};
+  Open open{event, now_ + event.aim_left, now_ + event.deadline_left, 0, 0, {}, {}};
   auto why = Forbids(event, options_);
-  if (!why && estimates_.MaySpill(now_, own_site_) && !WorthIt(event)) why = Why::kLittleWorth;
+  if (!why && estimates_.MaySpill(now_, own_site_) && !WorthIt(open)) why = Why::kLittleWorth;
   if (!why) why = TrySend(open);
   if (!why) {
     open_.emplace(event.request, std::move(open));
@@ -111,13 +114,15 @@
   ReportState();
 }
 
-bool Spill::WorthIt(const Refused& request) {
+bool Spill::WorthIt(Open& open) {
+  const Refused& request = open.request;
   double offered = 0;
   for (const auto& [site, share] : shares_)
     if (neighbours_.AnyInService(now_, site)) offered += share.rate();
   if (offered == 0) return true;  // then nobody takes it, which says more
-  const double chance = price_.Chance(now_, request.worth, request.work_ms, offered);
-  return chance >= 1 || boost::random::uniform_01<double>()(random_) < chance;
+  const Price::Verdict verdict = price_.Ask(now_, request.worth, request.work_ms, offered);
+  open.kept_free = kMostKeptFree * verdict.above;
+  return verdict.chance >= 1 || boost::random::uniform_01<double>()(random_) < verdict.chance;
 }
 
 std::optional<Why> Spill::TrySend(Open& open) {
@@ -165,7 +170,8 @@
   if (!estimate) return Why::kNoShare;
   const Time by = std::min(open.aim_at, open.deadline_at);
   if (now_ + Needs(options_, estimate->wait_ms, open.request.work_ms) > by) return Why::kNoTime;
-  return shares_.at(site).Has(now_, open.request.work_ms) ? std::nullopt : std::optional(Why::kNoShare);
+  Share& share = shares_.at(site);
+  return share.Has(now_, open.kept_free * share.depth()) ? std::nullopt : std::optional(Why::kNoShare);
 }
 
 Neighbour Spill::PickGateway(const std::string& site) {
--- a/src/spill/spill.h
+++ b/src/spill/spill.h
@@ -115,6 +115,7 @@
   struct Open {
     Refused request;
     Time aim_at{}, deadline_at{};
+    double kept_free = 0;  // part of a share that is left to those of higher worth
     int attempts = 0;
     std::set<std::string> tried;  // sites
     Neighbour at;
@@ -141,8 +142,8 @@
   void UpdateShares();
   // Whether the site's gateways may spill now: unless it is known to be quiet.
   bool MaySpill(const std::string& site) const;
-  // Whether the request is worth enough for what is offered to this gateway now.
-  bool WorthIt(const Refused& request);
+  // Whether the request is worth enough for what is offered to this gateway now; sets what it leaves free.
+  bool WorthIt(Open& open);
   void Complain(const Failure& failure);
   void ReportState();
   std::size_t Below(std::size_t bound);
