Run spill whole, with 9 processes of 3 sites, and strike it with faults

Nothing had run the way from the members' spares through the ambassador and the federation pool to a spilled request's answer with processes.

--- a/tests/federation/gateways.h
+++ b/tests/federation/gateways.h
@@ -1,7 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 //
 // Gateways of several sites as processes, each on a loopback address of its own, with the fault relay on
-// every path of the federation's pool, and servers in this process that count what arrives.
+// every path between sites: that of the federation's pool, and that of spilled requests, whose route
+// `a1>b2` is where gateway a1 has b2 by its configuration.
 #ifndef BRACKENSPOKE_TESTS_FEDERATION_GATEWAYS_H_
 #define BRACKENSPOKE_TESTS_FEDERATION_GATEWAYS_H_
 
@@ -47,8 +48,8 @@
       own["sites"]["bind"] = Bind(i);
       own["sites"]["advertise"] = Pool(i);
       for (int each = 0; each < kAll; ++each)
-        own["sites"]["gateways"][SiteName(each / kPerSite)][Name(each)] = {
-            {"pool", Pool(each)}, {"clients", clients_[Index(each)]}};
+        own["sites"]["gateways"][SiteName(each / kPerSite)][Name(each)] = {{"pool", Pool(each)},
+                                                                           {"clients", Clients(i, each)}};
       for (int site = 0; site < kSites; ++site) own["sites"]["voters"].push_back(Pool(site * kPerSite));
       edit(i / kPerSite, i % kPerSite, own);
       std::ofstream(folders_[Index(i)]->path / "config.json") << own.dump();
@@ -78,6 +79,15 @@
     operators_[Index(i)] = fleet::EndpointAfter(line->second, "operators at ");
   }
 
+  // Of all that goes from one site to another: `datagrams` of the pool, and `requests` of spilling gateways
+  // there. Faults as the relay has them; "" leaves one as it is.
+  void Fault(int from, int to, const std::string& datagrams, const std::string& requests) {
+    for (const int sender : Site(from))
+      for (const int receiver : Site(to)) {
+        if (!datagrams.empty()) Relay("FAULT " + Name(receiver) + " from=" + Bind(sender) + " " + datagrams);
+        if (!requests.empty()) Relay("FAULT " + Way(sender, receiver) + " " + requests);
+      }
+  }
   // The pool's datagrams pass only within each group.
   void Part(const std::vector<std::vector<int>>& groups) {
     std::vector<int> group_of(kAll);
@@ -115,10 +125,21 @@
  private:
   static std::string HostOf(int i) { return federation::HostOf(i / kPerSite, i % kPerSite); }
   std::string Bind(int i) const { return HostOf(i) + ":" + PortText(i); }
-  std::string Pool(int i) { return fleet::Host(relay_.Port(Name(i))); }
+  std::string Pool(int i) { return HostOf(i) + ":" + std::to_string(relay_.Port(Name(i))); }
+  static std::string Way(int from, int to) { return Name(from) + ">" + Name(to); }
+  // Where gateway `of` finds another one's clients' address.
+  std::string Clients(int of, int to) {
+    if (of / kPerSite == to / kPerSite) return clients_[Index(to)];
+    return HostOf(to) + ":" + std::to_string(relay_.Port(Way(of, to)));
+  }
   std::vector<std::string> Routes() const {
     std::vector<std::string> routes;
-    for (int i = 0; i < kAll; ++i) routes.push_back(Name(i) + "=udp:127.0.0.1:0=" + Bind(i));
+    for (int i = 0; i < kAll; ++i) routes.push_back(Name(i) + "=udp:" + HostOf(i) + ":0=" + Bind(i));
+    for (int from = 0; from < kAll; ++from)
+      for (int to = 0; to < kAll; ++to)
+        if (from / kPerSite != to / kPerSite)
+          routes.push_back(Way(from, to) + "=tcp:" + HostOf(to) + ":0=" + HostOf(to) + ":" +
+                           PortText(2 * kAll + to));
     return routes;
   }
 
--- a/tests/fleet/relay.cpp
+++ b/tests/fleet/relay.cpp
@@ -12,12 +12,15 @@
 // takes calls on the control address, one line a connection, answered by one line beginning with ACK or NAK:
 //
 //   FAULT NAME [from=HOST:PORT] [drop=SHARE] [delay=MS] [duplicate=SHARE] [reorder=SHARE] [cut=0|1]
+//              [stall_there=0|1] [stall_back=0|1]
 //                      set the route's faults, or those of a pair: of the datagrams that come from one sender
 //   CLEAR NAME         no faults, of the route and of its pairs
 //   COUNTS NAME        ACK passed=N dropped=N duplicated=N reordered=N cut=N
 //
 // A cut drops every datagram and closes the route's TCP connections, and refuses new ones while it holds. A
-// TCP route keeps its byte stream whole: of the faults only delay and cut apply to it.
+// TCP route keeps its byte stream whole: of the faults only delay, cut and the two stalls apply to it. A
+// stall keeps what comes from clients (there) or goes to them (back) until it ends, as a link that is cut one
+// way does with TCP. The target sees each connection come from its client's address.
 #include <CLI/CLI.hpp>
 #include <array>
 #include <boost/asio/io_context.hpp>
@@ -49,7 +52,7 @@
 struct Faults {
   double drop = 0, duplicate = 0, reorder = 0;
   int delay_ms = 0;
-  bool cut = false;
+  bool cut = false, stall_there = false, stall_back = false;
 };
 
 struct Counts {
@@ -72,7 +75,8 @@
   Route(asio::io_context& io, Judge& judge) : io_(io), judge_(judge) {}
   virtual ~Route() = default;
   virtual std::string address() const = 0;
-  virtual void OnCut() {}
+  // The faults have changed.
+  virtual void OnFaults() {}
   Faults faults;
   std::map<std::string, Faults> pairs;  // by sender, in place of the route's
   Counts counts;
@@ -162,10 +166,10 @@
     const auto at = acceptor_.local_endpoint();
     return at.address().to_string() + ":" + std::to_string(at.port());
   }
-  void OnCut() override {
-    for (auto& weak : pairs_)
-      if (const auto pair = weak.lock()) pair->Close();
-    pairs_.clear();
+  void OnFaults() override {
+    for (const auto& weak : std::vector(pairs_))
+      if (const auto pair = weak.lock(); pair && faults.cut) pair->Close();
+    for (const auto& [pair, there] : std::exchange(stalled_, {})) Copy(pair, there);
   }
 
  private:
@@ -185,36 +189,50 @@
       if (failed) return;
       Accept();
       if (faults.cut) return void(++counts.cut);
+      Error failed_from;
+      const Tcp::endpoint from(accepted.remote_endpoint(failed_from).address(), 0);
       auto pair = std::make_shared<Pair>(io_, std::move(accepted));
+      std::erase_if(pairs_, [](const auto& weak) { return weak.expired(); });
       pairs_.push_back(pair);
+      pair->server.open(target_.protocol(), failed_from);
+      if (!failed_from) pair->server.bind(from, failed_from);
+      if (failed_from) return pair->Close();
       pair->server.async_connect(target_, [this, pair](const Error& refused) {
         if (refused) return pair->Close();
-        Copy(pair, pair->client, pair->server);
-        Copy(pair, pair->server, pair->client);
+        Copy(pair, true);
+        Copy(pair, false);
       });
     });
   }
 
-  void Copy(const std::shared_ptr<Pair>& pair, Tcp::socket& from, Tcp::socket& to) {
-    auto buffer = std::make_shared<std::array<char, 16384>>();
-    from.async_read_some(asio::buffer(*buffer), [this, pair, &from, &to, buffer](const Error& failed,
-                                                                                 std::size_t n) {
+  // From the client to the target, or back.
+  void Copy(const std::shared_ptr<Pair>& pair, bool there) {
+    if (there ? faults.stall_there : faults.stall_back) return void(stalled_.emplace_back(pair, there));
+    Tcp::socket& from = there ? pair->client : pair->server;
+    Tcp::socket& to = there ? pair->server : pair->client;
+    from.async_wait(Tcp::socket::wait_read, [this, pair, there, &from, &to](const Error& ended) {
+      if (ended) return pair->Close();
+      if (there ? faults.stall_there : faults.stall_back) return Copy(pair, there);
+      std::vector<char> piece(16384);
+      Error failed;
+      const std::size_t n = from.read_some(asio::buffer(piece), failed);
       if (failed) return pair->Close();
+      piece.resize(n);
       Pass(
-          faults,
-          std::make_shared<const std::vector<char>>(buffer->begin(), buffer->begin() + static_cast<long>(n)),
-          [pair, &to](const Bytes& piece) {
+          faults, std::make_shared<const std::vector<char>>(std::move(piece)),
+          [pair, &to](const Bytes& bytes) {
             Error ignored;
-            asio::write(to, asio::buffer(*piece), ignored);
+            asio::write(to, asio::buffer(*bytes), ignored);
           },
           /*whole=*/true);
-      Copy(pair, from, to);
+      Copy(pair, there);
     });
   }
 
   Tcp::acceptor acceptor_;
   Tcp::endpoint target_;
   std::vector<std::weak_ptr<Pair>> pairs_;
+  std::vector<std::pair<std::shared_ptr<Pair>, bool>> stalled_;  // that read nothing, there or back
 };
 
 class Relay {
@@ -297,6 +315,7 @@
     if (verb == "CLEAR") {
       route.faults = {};
       route.pairs.clear();
+      route.OnFaults();
       return "ACK cleared";
     }
     if (verb == "COUNTS") {
@@ -338,11 +357,15 @@
         next.delay_ms = static_cast<int>(value);
       else if (key == "cut")
         next.cut = value != 0;
+      else if (key == "stall_there")
+        next.stall_there = value != 0;
+      else if (key == "stall_back")
+        next.stall_back = value != 0;
       else
         return "NAK unknown fault: " + key;
     }
     (from.empty() ? route.faults : route.pairs[from]) = next;
-    if (next.cut && from.empty()) route.OnCut();
+    if (from.empty()) route.OnFaults();
     return "ACK faults set";
   }
 
--- a/tests/fleet/relay_test.cpp
+++ b/tests/fleet/relay_test.cpp
@@ -112,5 +112,31 @@
   EXPECT_EQ(closed, asio::error::eof);
 }
 
+TEST(TcpRoute, KeepsTheClientsAddressAndAStallOneWayHoldsThatWayOnly) {
+  asio::io_context io;
+  Tcp::acceptor far(io, Tcp::endpoint(kLoopback, 0));
+  Relay relay(RELAY_PATH, {"r=tcp:127.0.0.1:0=" + Host(far.local_endpoint().port())});
+  const auto from = asio::ip::make_address("127.0.7.7");
+  Tcp::socket near(io, Tcp::endpoint(from, 0));
+  near.connect(Tcp::endpoint(kLoopback, relay.Port("r")));
+  Tcp::socket accepted = far.accept();
+  EXPECT_EQ(accepted.remote_endpoint().address(), from);
+  const auto pass = [](Tcp::socket& out, Tcp::socket& in) {
+    asio::write(out, asio::buffer("x", 1));
+    const timeval wait{0, 200000};  // what has not come in this time is held
+    ::setsockopt(in.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof wait);
+    char byte = 0;
+    return ::recv(in.native_handle(), &byte, 1, 0) == 1;
+  };
+  ASSERT_EQ(relay.Say("FAULT r stall_back=1"), "ACK faults set");
+  EXPECT_FALSE(pass(accepted, near));
+  EXPECT_TRUE(pass(near, accepted));
+  ASSERT_EQ(relay.Say("FAULT r stall_back=0 stall_there=1"), "ACK faults set");
+  EXPECT_FALSE(pass(near, accepted));
+  EXPECT_TRUE(pass(accepted, near));
+  ASSERT_EQ(relay.Say("CLEAR r"), "ACK cleared");
+  EXPECT_TRUE(pass(near, accepted));  // what was held, too
+}
+
 }  // namespace
 }  // namespace brackenspoke::testing::fleet
