Tell in STATE why requests were given up, by count

docs/spill.md tells on-call staff to look at whether `no share left` rises, and nothing showed it. STATE's line of spill now ends with each reason that a request was given up for, and how often.

--- a/src/spill/spill.cpp
+++ b/src/spill/spill.cpp
@@ -241,6 +241,10 @@
   line += "; sent " + std::to_string(counts_.sent) + " answered " + std::to_string(counts_.answered) +
           " refused " + std::to_string(counts_.refused) + " not_run " + std::to_string(counts_.not_run) +
           " may_have_run " + std::to_string(counts_.may_have_run);
+  for (std::size_t why = 0; why < kWhys; ++why)
+    if (counts_.given_up[why] > 0)
+      line += "; given up, " + std::string(Name(static_cast<Why>(why))) + ": " +
+              std::to_string(counts_.given_up[why]);
   return line;
 }
 
--- a/src/spill/spill.h
+++ b/src/spill/spill.h
@@ -108,7 +108,8 @@
   };
   const Counts& counts() const { return counts_; }
   std::size_t open() const { return open_.size(); }
-  // One line for an operator: each site with what it says, its age, this gateway's share, and the counts.
+  // One line for an operator: each site with what it says, its age, this gateway's share, and the counts, of
+  // those given up by why.
   std::string Describe(Time now) const;
 
  private:
