Let a grown floor wait until draws by the file before have ended

Need: a treasurer said that all gateways had a new file as soon as it had heard from the last one. A gateway whose floor had grown then had it at once, while another still had a draw by the file of before: both together were more than either budget. It must have been there for any move of floors between sites under load.

Change: the treasurer says so only a draw's life and twice the drift after it has heard from the last gateway. Draws by the file before were asked for before that, and a gateway that has the new file takes none.

--- a/src/quota/floors.cpp
+++ b/src/quota/floors.cpp
@@ -19,11 +19,13 @@
   return found == by_name_.end() ? nullptr : &found->second;
 }
 
-void Revisions::Hear(GatewayId gateway, bool present_one) {
+void Revisions::Hear(Time now, GatewayId gateway, bool present_one) {
   if (heard[gateway] == present_one) return;
   heard[gateway] = present_one;
   count = present_one ? count + 1 : count - 1;
-  if (agreed()) before.clear();
+  if (count < heard.size()) return;
+  complete = now;
+  before.clear();
 }
 
 void Revisions::Renew(std::shared_ptr<const Budgets> budgets) {
--- a/src/quota/floors.h
+++ b/src/quota/floors.h
@@ -41,9 +41,11 @@
   std::vector<std::shared_ptr<const Budgets>> before;  // since the last time that all had the same
   std::vector<bool> heard;                             // by gateway
   std::size_t count = 0;                               // of those heard
+  Time complete = Time::min();                         // since when all are
 
-  bool agreed() const { return count == heard.size(); }
-  void Hear(GatewayId gateway, bool present_one);
+  // A floor that grew may be had: all have told since `wait` ago, so that draws by files of before are over.
+  bool Agreed(Time now, Span wait) const { return count == heard.size() && now - wait >= complete; }
+  void Hear(Time now, GatewayId gateway, bool present_one);
   void Renew(std::shared_ptr<const Budgets> budgets);
 };
 
--- a/src/quota/messages.h
+++ b/src/quota/messages.h
@@ -67,7 +67,7 @@
   std::uint64_t life = 0;  // of the request; of calls alone 0
   std::uint64_t revision = 0;
   std::uint64_t token = 0;
-  bool agreed = false;             // all gateways have told that they have the revision
+  bool agreed = false;             // all gateways have the revision, and no draw of before is left
   std::vector<Draw> draws;         // none where the revisions differ
   std::vector<std::string> calls;  // partners whose floor here is wanted elsewhere: the gateway is to ask
   std::vector<Floor> floors;       // where the revisions differ
--- a/src/quota/treasurer.cpp
+++ b/src/quota/treasurer.cpp
@@ -35,8 +35,9 @@
   if (entry.scheduled != Time::max()) schedule_.emplace(entry.scheduled, partner);
 }
 
-Answer Treasurer::Empty(std::uint64_t life) const {
-  return {life, revisions_.present->revision, last_.token, revisions_.agreed(), {}, {}, {}};
+Answer Treasurer::Empty(Time now, std::uint64_t life) const {
+  const bool agreed = revisions_.Agreed(now, options_.timings.draw + options_.timings.Apart());
+  return {life, revisions_.present->revision, last_.token, agreed, {}, {}, {}};
 }
 
 // The draws of other holders have ended with their leases.
@@ -57,8 +58,8 @@
     return;
   }
   const bool same = request.revision == revisions_.present->revision;
-  revisions_.Hear(*from, same);
-  if (!same) return AnswerOther(*from, request, actions);
+  revisions_.Hear(now, *from, same);
+  if (!same) return AnswerOther(now, *from, request, actions);
   for (const Ack& ack : request.acks)
     if (Entry* entry = Find(ack.partner)) {
       entry->treasury.OnAck(now, *from, request.life, ack);
@@ -71,17 +72,17 @@
       Schedule(ask.held.partner, *entry);
     }
   if (request.asks.empty() && request.acks.empty())
-    actions->push_back(SendAnswer{gateway, Empty(request.life)});
+    actions->push_back(SendAnswer{gateway, Empty(now, request.life)});
   HandOut(now, guard, actions);
 }
 
-void Treasurer::AnswerOther(GatewayId gateway, const Request& request, TreasurerActions* actions) {
+void Treasurer::AnswerOther(Time now, GatewayId gateway, const Request& request, TreasurerActions* actions) {
   const std::string& name = gateways_.name(gateway);
   if (complained_.insert(name + " " + std::to_string(request.revision)).second)
     actions->push_back(TreasurerComplains{
         Failure(kOtherRevision, name,
                 std::to_string(request.revision) + ", not " + std::to_string(revisions_.present->revision))});
-  Answer answer = Empty(request.life);
+  Answer answer = Empty(now, request.life);
   for (const Ask& ask : request.asks)
     if (revisions_.present->partners.contains(ask.held.partner))
       answer.floors.push_back(
@@ -98,7 +99,7 @@
 void Treasurer::HandOut(Time now, const fleet::LeaseGuard& guard, TreasurerActions* actions) {
   std::map<std::pair<GatewayId, std::uint64_t>, Answer> answers;  // by gateway and life; 0: calls alone
   const auto answer = [&](GatewayId gateway, std::uint64_t life) -> Answer& {
-    return answers.try_emplace({gateway, life}, Empty(life)).first->second;
+    return answers.try_emplace({gateway, life}, Empty(now, life)).first->second;
   };
   while (!schedule_.empty() && schedule_.begin()->first <= now) {
     const std::string partner = schedule_.begin()->second;
--- a/src/quota/treasurer.h
+++ b/src/quota/treasurer.h
@@ -82,13 +82,12 @@
     std::map<std::string, Milli> demand;  // of the gateways that asked lately
   };
   std::vector<Line> Lines(Time now) const;
-  bool agreed() const { return revisions_.agreed(); }
 
  private:
   void Begin(const fleet::LeaseGuard& guard, TreasurerActions* actions);
   void HandOut(Time now, const fleet::LeaseGuard& guard, TreasurerActions* actions);
-  void AnswerOther(GatewayId gateway, const Request& request, TreasurerActions* actions);
-  Answer Empty(std::uint64_t life) const;
+  void AnswerOther(Time now, GatewayId gateway, const Request& request, TreasurerActions* actions);
+  Answer Empty(Time now, std::uint64_t life) const;
   struct Entry {
     PartnerTreasury treasury;
     Time scheduled = Time::max();
