--- a/model/quota/gateways.cpp
+++ b/model/quota/gateways.cpp
@@ -36,18 +36,21 @@
         life_(++all.lives_),
         random_(all.options_.seed * 1'000'003 + life_),
         site_(number / all.options_.per_site),
-        account_(
-            {SiteName(site_), all.options_.per_site, life_, all.options_.treasurers, all.options_.timings},
-            all.files_[number], host.Now()),
+        spender_(all.options_.greed, all.options_.seed * 7919 + life_, host.Now(),
+                 [this](const std::string& partner, double units, bool inside, bool ran) {
+                   Count(partner, units, inside, ran);
+                 }),
         leases_(host, life_, number, all.voters_, all.options_.treasurers, all.options_.timings, all.holders_,
                 [&host](const Endpoint& to, const fleet::LeaseMessage& message) {
                   host.Send(to, Wire{0, message}, kLeaseBytes);
                 }),
         next_draw_(host.Now()) {
+    accounts_.push_back(NewAccount(life_));
     for (std::size_t i = 0; i < all.options_.treasurers; ++i)
       treasurers_.emplace_back(
           quota::TreasurerOptions{i, all.options_.treasurers, all.layout_, all.options_.timings},
           all.files_[number]);
+    guards_.resize(treasurers_.size());
   }
 
   void Receive(const Packet& packet) override {
@@ -55,14 +58,16 @@
     const Time now = host_.Now();
     if (const auto* answer = std::get_if<quota::Answer>(&wire.message)) {
       quota::AccountActions actions;
-      account_.Receive(now, wire.treasurer, *answer, &actions);
+      account().Receive(now, wire.treasurer, *answer, &actions);
       return Act(actions);
     }
     if (const auto* lease = std::get_if<fleet::LeaseMessage>(&wire.message))
       return leases_.Receive(packet.from, *lease);
     const auto from = all_.by_address_.find(packet.from);
-    const auto guard = leases_.Guard(wire.treasurer);
-    if (!guard) return;
+    // The guard that there was may be used late: it is for the treasurer to ask it.
+    std::optional<fleet::LeaseGuard>& guard = guards_[wire.treasurer];
+    if (auto held = leases_.Guard(wire.treasurer)) guard.emplace(std::move(*held));
+    if (!guard || stepping_down_) return;
     quota::TreasurerActions actions;
     treasurers_[wire.treasurer].Receive(now, *guard, all_.names_[from->second],
                                         std::get<quota::Request>(wire.message), &actions);
@@ -72,33 +77,47 @@
   void Tick() override {
     const Time now = host_.Now();
     leases_.Tick();
+    if (stepping_down_ && now >= OutUntil(now)) {
+      stepping_down_ = false;
+      leases_.GiveBack();
+    }
     for (std::size_t i = 0; i < treasurers_.size(); ++i)
-      if (const auto guard = treasurers_[i].Next() <= now ? leases_.Guard(i) : std::nullopt) {
+      if (const auto guard = treasurers_[i].Next() <= now ? Guard(i) : std::nullopt) {
         quota::TreasurerActions actions;
         treasurers_[i].Tick(now, *guard, &actions);
         Act(i, actions);
       }
     Serve(now);
     quota::AccountActions actions;
-    account_.Tick(now, &actions);
+    account().Tick(now, &actions);
     Act(actions);
   }
 
   Time Next() const override {
-    Time next = std::min({leases_.Next(), next_draw_, account_.Next()});
+    const Time now = host_.Now();
+    Time next = std::min(
+        {leases_.Next(), all_.options_.greed.on ? spender_.Next() : next_draw_, accounts_.back()->Next()});
+    if (stepping_down_) next = std::min(next, OutUntil(now));
     if (at_ < arrivals_.size()) next = std::min(next, arrivals_[at_].at);
     for (std::size_t i = 0; i < treasurers_.size(); ++i)
-      if (leases_.Guard(i)) next = std::min(next, treasurers_[i].Next());
+      if (Guard(i)) next = std::min(next, treasurers_[i].Next());
     return next;
   }
 
   void Renew(std::shared_ptr<const quota::Budgets> budgets) {
     for (quota::Treasurer& treasurer : treasurers_) treasurer.Renew(budgets);
     quota::AccountActions actions;
-    account_.Renew(host_.Now(), std::move(budgets), &actions);
+    account().Renew(host_.Now(), std::move(budgets), &actions);
     Act(actions);
   }
 
+  void HandOver() {
+    account().Retire(host_.Now());
+    accounts_.push_back(NewAccount(++all_.lives_));
+  }
+
+  void StepDown() { stepping_down_ = true; }
+
  private:
   struct Arrival {
     Time at;
@@ -111,15 +130,45 @@
   }
   bool Chance(double share) { return share > 0 && std::uniform_real_distribution<>(0, 1)(random_) < share; }
 
+  quota::Account& account() { return *accounts_.back(); }
+  std::unique_ptr<quota::Account> NewAccount(std::uint64_t life) {
+    const GatewaysOptions& options = all_.options_;
+    return std::make_unique<quota::Account>(
+        quota::AccountOptions{SiteName(site_), options.per_site, life, options.treasurers, options.timings},
+        all_.files_[number_], host_.Now());
+  }
+  std::optional<fleet::LeaseGuard> Guard(std::size_t treasurer) const {
+    return stepping_down_ ? std::nullopt : leases_.Guard(treasurer);
+  }
+  Time OutUntil(Time now) const {
+    Time latest = now;
+    for (const quota::Treasurer& treasurer : treasurers_) latest = std::max(latest, treasurer.OutUntil(now));
+    return latest;
+  }
+
+  void Count(const std::string& partner, double units, bool inside, bool counts) {
+    all_.Count(number_, partner, host_.True(), static_cast<quota::Milli>(std::ceil(units * quota::kOne)),
+               inside, counts);
+  }
+
   void Serve(Time now) {
+    if (!all_.options_.greed.on) return ServeClients(now);
+    std::vector<quota::Account*> accounts;
+    for (const auto& each : accounts_) accounts.push_back(each.get());
+    std::vector<std::string> partners;
+    for (const auto& [partner, per_s] : all_.loads_[number_])
+      if (per_s > 0) partners.push_back(partner);
+    spender_.Serve(now, accounts, partners, all_.saving_);
+  }
+
+  void ServeClients(Time now) {
     for (; at_ < arrivals_.size() && arrivals_[at_].at <= now; ++at_) {
       const Arrival& arrival = arrivals_[at_];
-      const quota::Charged charged = account_.Charge(now, *arrival.partner, arrival.units);
+      const quota::Charged charged = account().Charge(now, *arrival.partner, arrival.units);
       const bool inside = charged.verdict == quota::Verdict::kInside;
       const bool credited = inside && Chance(all_.options_.credited);
-      all_.Count(number_, *arrival.partner, host_.True(),
-                 static_cast<quota::Milli>(std::ceil(arrival.units * quota::kOne)), inside, !credited);
-      if (credited) account_.Credit(now, charged.ticket);
+      Count(*arrival.partner, arrival.units, inside, !credited);
+      if (credited) account().Credit(now, charged.ticket);
     }
     if (now < next_draw_) return;
     // What came while the machine stood still comes at once.
@@ -144,8 +193,7 @@
     for (const quota::AccountAction& action : actions) {
       const auto* send = std::get_if<quota::SendRequest>(&action);
       const auto holder = send ? all_.Holder(send->treasurer) : std::nullopt;
-      if (holder)
-        host_.Send(all_.addresses_[*holder], Wire{send->treasurer, send->request}, BytesOf(send->request));
+      if (holder) Post(*holder, Wire{send->treasurer, send->request}, BytesOf(send->request));
     }
   }
 
@@ -155,24 +203,32 @@
       if (!send) continue;
       const auto to = static_cast<std::size_t>(
           std::find(all_.names_.begin(), all_.names_.end(), send->gateway) - all_.names_.begin());
-      const auto post = [&host = host_, address = all_.addresses_[to], treasurer, answer = send->answer] {
-        host.Send(address, Wire{treasurer, answer}, BytesOf(answer));
-      };
-      if (Chance(all_.options_.late))
-        all_.world_.At(all_.world_.now() + Between(milliseconds(0), milliseconds(4000)), post);
-      else
-        post();
+      Post(to, Wire{treasurer, send->answer}, BytesOf(send->answer));
     }
   }
 
+  // Late, or once more late, as the options have it.
+  void Post(std::size_t to, const Wire& wire, std::size_t bytes) {
+    const auto post = [&host = host_, address = all_.addresses_[to], wire, bytes] {
+      host.Send(address, wire, bytes);
+    };
+    const bool late = Chance(all_.options_.late), again = Chance(all_.options_.again);
+    if (!late) post();
+    for (int copies = (late ? 1 : 0) + (again ? 1 : 0); copies > 0; --copies)
+      all_.world_.At(all_.world_.now() + Between(Span(0), all_.options_.latest), post);
+  }
+
   Gateways& all_;
   Host& host_;
   const std::size_t number_;
   const std::uint64_t life_;
   std::mt19937_64 random_;
   const std::size_t site_;
-  quota::Account account_;
+  std::vector<std::unique_ptr<quota::Account>> accounts_;  // the last one has the gateway's address
   std::vector<quota::Treasurer> treasurers_;
+  std::vector<std::optional<fleet::LeaseGuard>> guards_;  // the newest of each
+  bool stepping_down_ = false;
+  Spender spender_;
   std::vector<Arrival> arrivals_;
   std::size_t at_ = 0;
   LeaseMember leases_;
@@ -205,7 +261,7 @@
   for (std::size_t i = 0; i < count; ++i) {
     MachineClock clock;
     // The ends of the range are where a margin that is missing shows.
-    const double at = std::uniform_real_distribution<>(-1.5, 1.5)(world_.random());
+    const double at = std::uniform_real_distribution<>(-3, 3)(world_.random());
     clock.rate = 1 + apart * std::clamp(at, -1.0, 1.0);
     clock.offset = std::chrono::hours(1 + i % 7);
     world_.Add(
@@ -225,6 +281,14 @@
   if (auto* program = static_cast<Program*>(world_.program(gateway))) program->Renew(std::move(budgets));
 }
 
+void Gateways::HandOver(std::size_t gateway) {
+  if (auto* program = static_cast<Program*>(world_.program(gateway))) program->HandOver();
+}
+
+void Gateways::StepDown(std::size_t gateway) {
+  if (auto* program = static_cast<Program*>(world_.program(gateway))) program->StepDown();
+}
+
 void Gateways::ClearTallies() {
   const std::size_t count = size();
   for (auto& [partner, tally] : tallies_) {
--- a/model/quota/gateways.h
+++ b/model/quota/gateways.h
@@ -13,6 +13,7 @@
 
 #include "model/quota/lease_member.h"
 #include "model/quota/ledger_check.h"
+#include "model/quota/spender.h"
 #include "model/world.h"
 #include "quota/account.h"
 #include "quota/treasurer.h"
@@ -25,9 +26,12 @@
   quota::Timings timings;
   double clocks_apart = 1;  // of what the drift allows: 0: all clocks are true
   double credited = 0;      // share of the admitted requests that prove not to have run
-  double late = 0;          // share of the treasurers' answers that are sent up to 4 s late
-  double cost = 1;          // mean units of a request; over 1: costs vary
-  bool keep_all = true;     // admissions, for the check; false: count only
+  double late = 0;          // share of the quota's messages that are sent late
+  double again = 0;         // and that are sent once more, late
+  Span latest = std::chrono::seconds(4);
+  double cost = 1;       // mean units of a request; over 1: costs vary
+  Greed greed;           // on: in place of clients that come at a rate
+  bool keep_all = true;  // admissions, for the check; false: count only
 };
 
 // What became of one partner's requests.
@@ -53,6 +57,12 @@
   void SetLoad(std::size_t gateway, const std::string& partner, double per_s);
   // The file of a gateway's machine from now on; a process that runs takes it at once.
   void SetBudgets(std::size_t gateway, std::shared_ptr<const quota::Budgets> budgets);
+  // Greedy clients save up from now on, or spend again.
+  void Save(bool saving) { saving_ = saving; }
+  // Another process takes over the gateway's address; the one before lets its draws end beside it.
+  void HandOver(std::size_t gateway);
+  // The gateway hands out no draws until those that it has handed out have ended, and gives its leases back.
+  void StepDown(std::size_t gateway);
   // The machine that holds a duty, as others see it.
   std::optional<std::size_t> Holder(std::size_t treasurer) const {
     return holders_.At(treasurer, world_.now());
@@ -80,6 +90,7 @@
   std::map<std::string, Tally> tallies_;
   std::map<std::string, Window> ideal_;
   std::uint64_t lives_ = 0;
+  bool saving_ = false;
 };
 
 }  // namespace brackenspoke::model
--- a/model/quota/lease_member.h
+++ b/model/quota/lease_member.h
@@ -61,6 +61,11 @@
     if (leases_.Next() <= host_.Now()) leases_.Tick(host_.Now(), host_.Wall());
   }
   Time Next() const { return leases_.Next(); }
+  // Gives back all that it holds, and may ask for it again.
+  void GiveBack() {
+    leases_.Release(host_.Now());
+    leases_.Resume(host_.Now());
+  }
   std::optional<fleet::LeaseGuard> Guard(std::size_t duty) const {
     return leases_.Guard(host_.Now(), Duty(duty));
   }
--- /dev/null
+++ b/model/quota/mutants/counts_from_receipt.account.sed
@@ -0,0 +1,2 @@
+# A draw lasts from its receipt.
+s/until = asked->second +/until = now +/
--- /dev/null
+++ b/model/quota/mutants/credits_all.bucket.sed
@@ -0,0 +1,2 @@
+# A credit puts back all of its charge.
+s/) most = std::min(most, Room(g));/) {}/
--- /dev/null
+++ b/model/quota/mutants/forgets_early.commitments.sed
@@ -0,0 +1,2 @@
+# A draw is forgotten a slot before it has ended.
+s/draw\.until <= now;/draw.until <= now + slot_;/
--- /dev/null
+++ b/model/quota/mutants/guard_not_asked.treasurer.sed
@@ -0,0 +1,2 @@
+# The guard is not asked.
+s/^  if (!guard\.Holds(now)) return;//
--- /dev/null
+++ b/model/quota/mutants/keeps_floor.partner_account.sed
@@ -0,0 +1,2 @@
+# The floor is back when the draw is over, though a longer one was acknowledged.
+s/^  PutFloorAway(until);/  floor_.from = until;/
--- /dev/null
+++ b/model/quota/mutants/no_silence.account.sed
@@ -0,0 +1,2 @@
+# A new process has its floor at once.
+s/^      floors_from_(now + .*),/      floors_from_(now),/
--- /dev/null
+++ b/model/quota/mutants/old_floors_forgotten.floors.sed
@@ -0,0 +1,2 @@
+# What gateways may still go by of older files is not counted.
+/doubtful = Larger(doubtful, of(/d
--- /dev/null
+++ b/model/quota/mutants/renewal_refills.bucket.sed
@@ -0,0 +1,2 @@
+# A bucket is full whenever its part changes.
+s/^  level_ = std::min(level_, depth_);/  level_ = level_ > 0 ? depth_ : 0;/
--- a/model/quota/search.h
+++ b/model/quota/search.h
@@ -13,10 +13,11 @@
 
 namespace brackenspoke::model {
 
-// A scenario is a function of its seed: budgets, traffic that moves between gateways at up to several times
-// the budget, clocks as far apart as the drift allows, credits, answers that are sent late, and faults. In
-// every fourth all gateways restart at once; in every other fourth the budgets change in service, gateway by
-// gateway, and no process restarts.
+// A scenario is a function of its seed (model/quota/scenario.h): small bursts, clients that spend all that an
+// account lets through and save up before, demand that moves, clocks at the ends of what the drift allows,
+// draws up to as long as a lease may be, credits, messages that come late and twice, leases and addresses
+// given away, and faults. In two of five the budgets change in service, gateway by gateway, and no process
+// restarts; in another fifth all gateways restart at once.
 struct QuotaFinding {
   std::uint64_t seed = 0;
   std::string partner;
