--- /dev/null
+++ b/model/quota/scale/crowd.cpp
@@ -0,0 +1,219 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "model/quota/scale/crowd.h"
+
+#include <utility>
+#include <variant>
+
+namespace brackenspoke::model::scale {
+namespace {
+
+using nlohmann::json;
+using Stopwatch = std::chrono::steady_clock;
+
+constexpr std::size_t kLeaseBytes = 120;
+// Of a datagram beside the payload: sender, channel and IP and UDP headers.
+constexpr std::size_t kEnvelope = 120;
+constexpr std::uint64_t kTimedCharges = 16;  // one of so many is timed, as a clock costs as much as a charge
+
+struct Wire {
+  std::size_t treasurer = 0;
+  std::variant<quota::Request, quota::Answer, fleet::LeaseMessage> message;
+};
+
+double Since(Stopwatch::time_point begin) {
+  return std::chrono::duration<double>(Stopwatch::now() - begin).count();
+}
+
+template <typename Message>
+std::size_t BytesOf(std::size_t treasurer, const Message& message) {
+  return kEnvelope + json::to_msgpack(json{{"t", treasurer}, {"q", quota::ToJson(message)}}).size();
+}
+std::size_t EntriesOf(const quota::Request& request) { return request.asks.size() + request.acks.size(); }
+std::size_t EntriesOf(const quota::Answer& answer) {
+  return answer.draws.size() + answer.calls.size() + answer.floors.size();
+}
+
+}  // namespace
+
+class Crowd::Program final : public model::Program {
+ public:
+  Program(Crowd& all, Host& host, std::size_t number)
+      : all_(all),
+        host_(host),
+        number_(number),
+        life_(++all.lives_),
+        account_({SiteName(all.SiteOf(number)), all.options_.per_site, life_, all.options_.treasurers,
+                  all.options_.timings},
+                 all.budgets_, host.Now()) {
+    if (!all.candidate_[number]) return;
+    leases_.emplace(host, life_, number, all.voters_, all.options_.treasurers, all.options_.timings,
+                    all.holders_, [&host](const Endpoint& to, const fleet::LeaseMessage& message) {
+                      host.Send(to, Wire{0, message}, kLeaseBytes);
+                    });
+    for (std::size_t i = 0; i < all.options_.treasurers; ++i)
+      treasurers_.emplace_back(
+          quota::TreasurerOptions{i, all.options_.treasurers, all.layout_, all.options_.timings},
+          all.budgets_);
+  }
+
+  void Receive(const Packet& packet) override {
+    Serve();
+    const auto& wire = std::any_cast<const Wire&>(*packet.content);
+    if (const auto* answer = std::get_if<quota::Answer>(&wire.message)) {
+      const auto begin = Stopwatch::now();
+      quota::AccountActions actions;
+      account_.Receive(host_.Now(), wire.treasurer, *answer, &actions);
+      Act(actions);
+      all_.gateway_costs_.rest_s += Since(begin);
+    } else if (const auto* request = std::get_if<quota::Request>(&wire.message)) {
+      const auto guard = leases_ ? leases_->Guard(wire.treasurer) : std::nullopt;
+      if (!guard) return;
+      const auto begin = Stopwatch::now();
+      quota::TreasurerActions actions;
+      treasurers_[wire.treasurer].Receive(host_.Now(), *guard, all_.names_[all_.by_address_.at(packet.from)],
+                                          *request, &actions);
+      Act(wire.treasurer, actions);
+      all_.treasurer_costs_.rest_s += Since(begin);
+    } else if (leases_) {
+      leases_->Receive(packet.from, std::get<fleet::LeaseMessage>(wire.message));
+    }
+  }
+
+  void Tick() override {
+    const Time now = host_.Now();
+    if (leases_) leases_->Tick();
+    for (std::size_t i = 0; i < treasurers_.size(); ++i) {
+      const auto guard = treasurers_[i].Next() <= now ? leases_->Guard(i) : std::nullopt;
+      if (!guard) continue;
+      const auto begin = Stopwatch::now();
+      quota::TreasurerActions actions;
+      treasurers_[i].Tick(now, *guard, &actions);
+      Act(i, actions);
+      all_.treasurer_costs_.rest_s += Since(begin);
+    }
+    Serve();
+    if (account_.Next() > now) return;
+    const auto begin = Stopwatch::now();
+    quota::AccountActions actions;
+    account_.Tick(now, &actions);
+    Act(actions);
+    all_.gateway_costs_.rest_s += Since(begin);
+  }
+
+  Time Next() const override {
+    Time next = account_.Next();
+    if (leases_) next = std::min(next, leases_->Next());
+    const Moment arrival = all_.clients_[number_].Next();
+    if (arrival != Moment::max()) next = std::min(next, all_.clocks_[number_].At(arrival));
+    for (std::size_t i = 0; i < treasurers_.size(); ++i)
+      if (leases_->Guard(i)) next = std::min(next, treasurers_[i].Next());
+    return next;
+  }
+
+ private:
+  void Serve() {
+    const Moment true_now = host_.True();
+    while (const auto arrival = all_.clients_[number_].Take(true_now)) {
+      const Time at = all_.clocks_[number_].At(arrival->at);
+      const bool timed = ++all_.gateway_costs_.charges % kTimedCharges == 0;
+      const auto begin = timed ? Stopwatch::now() : Stopwatch::time_point();
+      const quota::Charged charged = account_.Charge(at, all_.partners_[arrival->partner], 1);
+      if (timed) all_.gateway_costs_.charges_s += Since(begin) * static_cast<double>(kTimedCharges);
+      all_.offered_[arrival->partner].push_back(
+          {arrival->at, static_cast<std::uint32_t>(number_), charged.verdict == quota::Verdict::kInside});
+    }
+  }
+
+  template <typename Message>
+  void Send(std::size_t to, std::size_t treasurer, const Message& message, Costs* costs) {
+    const std::size_t bytes = BytesOf(treasurer, message);
+    ++costs->messages;
+    costs->bytes += bytes;
+    costs->entries += EntriesOf(message);
+    host_.Send(all_.addresses_[to], Wire{treasurer, message}, bytes);
+  }
+
+  void Act(const quota::AccountActions& actions) {
+    for (const quota::AccountAction& action : actions)
+      if (const auto* send = std::get_if<quota::SendRequest>(&action))
+        if (const auto holder = all_.holders_.At(send->treasurer, all_.world_.now()))
+          Send(*holder, send->treasurer, send->request, &all_.gateway_costs_);
+  }
+
+  void Act(std::size_t treasurer, const quota::TreasurerActions& actions) {
+    for (const quota::TreasurerAction& action : actions)
+      if (const auto* send = std::get_if<quota::SendAnswer>(&action))
+        Send(all_.by_name_.at(send->gateway), treasurer, send->answer, &all_.treasurer_costs_);
+  }
+
+  Crowd& all_;
+  Host& host_;
+  const std::size_t number_;
+  const std::uint64_t life_;
+  quota::Account account_;
+  std::vector<quota::Treasurer> treasurers_;
+  std::optional<LeaseMember> leases_;
+};
+
+Crowd::Crowd(const CrowdOptions& options, std::shared_ptr<const quota::Budgets> budgets)
+    : options_(options), budgets_(std::move(budgets)), world_(options.seed) {
+  const std::size_t count = options.sites * options.per_site;
+  for (const auto& [partner, budget] : budgets_->partners) partners_.push_back(partner);
+  offered_.resize(partners_.size());
+  clients_.resize(count);
+  candidate_.resize(count);
+  for (std::size_t i = 0; i < count; ++i) {
+    names_.push_back(std::string(1, 'g').append(std::to_string(i)));
+    addresses_.emplace_back(boost::asio::ip::address_v4(static_cast<std::uint32_t>(0x0a000000 + i + 1)),
+                            7900);
+    by_address_[addresses_.back()] = i;
+    by_name_[names_.back()] = i;
+    layout_[SiteName(SiteOf(i))].insert(names_.back());
+    world_.network().Place(i, SiteOf(i));
+  }
+  for (std::size_t i = 0; i < std::min(options.candidates, count); ++i)
+    candidate_[i % options.sites * options.per_site + i / options.sites] = true;
+  for (std::size_t site = 0; site < std::min<std::size_t>(options.sites, 5); ++site)
+    voters_.push_back(addresses_[site * options.per_site]);
+  Link wide;
+  wide.least = options.wide_least;
+  wide.most = options.wide_most;
+  world_.network().SetWide(wide);
+  const double apart = options.clocks_apart * std::chrono::duration<double>(options.timings.drift) /
+                       std::chrono::duration<double>(options.timings.term);
+  for (std::size_t i = 0; i < count; ++i) {
+    MachineClock clock;
+    clock.rate = 1 + apart * std::uniform_real_distribution<>(-1, 1)(world_.random());
+    clock.offset = std::chrono::hours(1 + i % 7);
+    clocks_.push_back(clock);
+    world_.Add(
+        names_[i], addresses_[i], [this, i](Host& host) { return std::make_unique<Program>(*this, host, i); },
+        clock);
+  }
+}
+
+Crowd::~Crowd() = default;
+
+// A stall of no length: the world asks again when the program is due.
+void Crowd::Wake(std::size_t gateway) { world_.Stall(gateway, Moment(0)); }
+
+void Crowd::Crash(std::size_t gateway) {
+  world_.Crash(gateway);
+  const std::size_t first = SiteOf(gateway) * options_.per_site;
+  const std::size_t next = first + (gateway - first + 1) % options_.per_site;
+  clients_[gateway].MoveTo(&clients_[next]);
+  Wake(next);
+}
+
+std::vector<std::vector<Offered>> Crowd::TakeOffered() {
+  std::vector<std::vector<Offered>> taken(partners_.size());
+  taken.swap(offered_);
+  return taken;
+}
+
+std::optional<std::size_t> Crowd::Holder(std::size_t treasurer) {
+  const auto holder = holders_.At(treasurer, world_.now());
+  return holder && world_.program(*holder) ? holder : std::nullopt;
+}
+
+}  // namespace brackenspoke::model::scale
--- /dev/null
+++ b/model/quota/scale/crowd.h
@@ -0,0 +1,100 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Many gateways under many partners' clients, in virtual time: each with its account of quotas, and some that
+// may come to be treasurers. What goes between them is packed as on the wire.
+#ifndef BRACKENSPOKE_MODEL_QUOTA_SCALE_CROWD_H_
+#define BRACKENSPOKE_MODEL_QUOTA_SCALE_CROWD_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "model/quota/lease_member.h"
+#include "model/quota/scale/clients.h"
+#include "model/world.h"
+#include "quota/account.h"
+#include "quota/treasurer.h"
+
+namespace brackenspoke::model::scale {
+
+struct CrowdOptions {
+  std::uint64_t seed = 1;
+  std::size_t sites = 3, per_site = 3;
+  std::size_t treasurers = 4;
+  std::size_t candidates = 9;  // gateways that ask for the treasurers' leases, one a site in turn
+  quota::Timings timings;
+  double clocks_apart = 0.001;  // of what the drift allows
+  Moment wide_least = std::chrono::milliseconds(8),
+         wide_most = std::chrono::milliseconds(15);  // between sites
+};
+
+// One request as it was offered and judged.
+struct Offered {
+  Moment at;
+  std::uint32_t gateway = 0;
+  bool inside = false;
+};
+
+// Of all gateways, or of all treasurers, together.
+struct Costs {
+  std::uint64_t messages = 0, bytes = 0;  // sent
+  std::uint64_t entries = 0;              // asks, acks, draws, calls and floors in them
+  std::uint64_t charges = 0;
+  double charges_s = 0, rest_s = 0;  // time of this machine in the classes: charging; all else
+};
+
+class Crowd {
+ public:
+  Crowd(const CrowdOptions& options, std::shared_ptr<const quota::Budgets> budgets);
+  ~Crowd();
+
+  World& world() { return world_; }
+  const CrowdOptions& options() const { return options_; }
+  std::size_t size() const { return names_.size(); }
+  static std::string SiteName(std::size_t site) { return std::string(1, 's').append(std::to_string(site)); }
+  std::size_t SiteOf(std::size_t gateway) const { return gateway / options_.per_site; }
+  const std::string& partner(PartnerId id) const { return partners_[id]; }
+
+  Clients& clients(std::size_t gateway) { return clients_[gateway]; }
+  // After its clients got a change that may come before what it waits for.
+  void Wake(std::size_t gateway);
+  // Its clients go to the next gateway of its site.
+  void Crash(std::size_t gateway);
+
+  // Requests since the last call, of each partner, in order.
+  std::vector<std::vector<Offered>> TakeOffered();
+  // The machine that holds the duty as others see it, while it runs.
+  std::optional<std::size_t> Holder(std::size_t treasurer);
+
+  const Costs& gateways() const { return gateway_costs_; }
+  const Costs& treasurers() const { return treasurer_costs_; }
+  void ClearCosts() { gateway_costs_ = treasurer_costs_ = {}; }
+
+ private:
+  class Program;
+  friend class Program;
+
+  const CrowdOptions options_;
+  const std::shared_ptr<const quota::Budgets> budgets_;
+  World world_;
+  std::vector<std::string> names_, partners_;
+  std::vector<Endpoint> addresses_;
+  std::map<Endpoint, std::size_t> by_address_;
+  std::map<std::string, std::size_t> by_name_;
+  quota::Layout layout_;
+  std::vector<MachineClock> clocks_;
+  std::vector<Endpoint> voters_;
+  std::vector<bool> candidate_;
+  Holders holders_;
+  std::vector<Clients> clients_;
+  std::vector<std::vector<Offered>> offered_;
+  Costs gateway_costs_, treasurer_costs_;
+  std::uint64_t lives_ = 0;
+};
+
+}  // namespace brackenspoke::model::scale
+
+#endif  // BRACKENSPOKE_MODEL_QUOTA_SCALE_CROWD_H_
