Time the quota model's classes by processor time, and keep clocks out of the model

Wall time counted whatever else the machine did, and a model owns no clock. The bench gives the model a stopwatch of the thread's processor time, whose own cost is taken off.

--- a/bench/quota_scale.cpp
+++ b/bench/quota_scale.cpp
@@ -3,6 +3,8 @@
 // Quotas of many partners over many gateways in virtual time, beside the budget divided by gateways and one
 // central counter asked for each request, for the same requests. Prints two Markdown tables: what was let
 // through, and what it took.
+#include <time.h>
+
 #include <CLI/CLI.hpp>
 #include <algorithm>
 #include <array>
@@ -32,11 +34,19 @@
   return sites;
 }
 
+// Processor time of this thread, so that others on the machine do not count.
+double ProcessorSeconds() {
+  timespec now{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
+  return static_cast<double>(now.tv_sec) + 1e-9 * static_cast<double>(now.tv_nsec);
+}
+
 struct Row {
   std::size_t gateways, partners;
   const char* name;
   RunOptions options;
   Figures figures;
+  double took_s = 0;
 };
 
 std::string Ratios(const std::array<double, kWays>& values, double of, double scale) {
@@ -53,7 +63,7 @@
       "s "
       "| central: way, ms | central: no answer |\n"
       "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n");
-  for (const auto& [gateways, partners, name, options, figures] : rows) {
+  for (const auto& [gateways, partners, name, options, figures, took] : rows) {
     const double ideal = std::max(figures.spent[kIdeal], 1.0);
     const double before = figures.spent_before / std::max(figures.ideal_before, 1.0);
     const std::string lost =
@@ -69,14 +79,13 @@
 
 void PrintCosts(const std::vector<Row>& rows) {
   std::printf(
-      "\nA second, of one gateway and of one treasurer, in the mean; times of this machine for a virtual "
-      "second.\n\n"
+      "\nA second, of one gateway and of one treasurer, in the mean; processor time for a virtual second.\n\n"
       "| gateways | partners | scenario | asked of a gateway | a gateway sends | entries each | and bytes | "
       "a "
       "treasurer sends | entries each | and bytes | charge, ns | gateway, ms | treasurer, ms | run took, s "
       "|\n"
       "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n");
-  for (const auto& [gateways, partners, name, options, figures] : rows) {
+  for (const auto& [gateways, partners, name, options, figures, took] : rows) {
     const auto all = static_cast<double>(gateways) * figures.seconds;
     const auto duties = static_cast<double>(std::min(options.treasurers, partners)) * figures.seconds;
     const auto each = [](std::uint64_t entries, std::uint64_t messages) {
@@ -90,7 +99,7 @@
         static_cast<double>(t.messages) / duties, each(t.entries, t.messages),
         static_cast<double>(t.bytes) / duties,
         1e9 * g.charges_s / std::max(static_cast<double>(g.charges), 1.0), 1e3 * g.rest_s / all,
-        1e3 * t.rest_s / duties, figures.took_s);
+        1e3 * t.rest_s / duties, took);
   }
 }
 
@@ -126,9 +135,11 @@
         options.per_s = partner_count <= 100 ? 20 : 2;
         options.counted = std::chrono::seconds(seconds);
         options.seed = seed;
-        rows.push_back({gateway_count, partner_count, named.name, options, Run(options)});
-        std::fprintf(stderr, "%zu x %zu %s: %.1f s\n", gateway_count, partner_count, named.name,
-                     rows.back().figures.took_s);
+        options.processor_s = ProcessorSeconds;
+        const double began = ProcessorSeconds();
+        const Figures figures = Run(options);
+        rows.push_back(
+            {gateway_count, partner_count, named.name, options, figures, ProcessorSeconds() - began});
       }
   PrintShares(rows);
   PrintCosts(rows);
--- a/model/quota/scale/crowd.cpp
+++ b/model/quota/scale/crowd.cpp
@@ -8,7 +8,6 @@
 namespace {
 
 using nlohmann::json;
-using Stopwatch = std::chrono::steady_clock;
 
 constexpr std::size_t kLeaseBytes = 120;
 // Of a datagram beside the payload: sender, channel and IP and UDP headers.
@@ -20,10 +19,6 @@
   std::variant<quota::Request, quota::Answer, fleet::LeaseMessage> message;
 };
 
-double Since(Stopwatch::time_point begin) {
-  return std::chrono::duration<double>(Stopwatch::now() - begin).count();
-}
-
 template <typename Message>
 std::size_t BytesOf(std::size_t treasurer, const Message& message) {
   return kEnvelope + json::to_msgpack(json{{"t", treasurer}, {"q", quota::ToJson(message)}}).size();
@@ -60,20 +55,20 @@
     Serve();
     const auto& wire = std::any_cast<const Wire&>(*packet.content);
     if (const auto* answer = std::get_if<quota::Answer>(&wire.message)) {
-      const auto begin = Stopwatch::now();
+      const double begin = all_.Processor();
       quota::AccountActions actions;
       account_.Receive(host_.Now(), wire.treasurer, *answer, &actions);
       Act(actions);
-      all_.gateway_costs_.rest_s += Since(begin);
+      all_.Timed(begin, &all_.gateway_costs_.rest_s);
     } else if (const auto* request = std::get_if<quota::Request>(&wire.message)) {
       const auto guard = leases_ ? leases_->Guard(wire.treasurer) : std::nullopt;
       if (!guard) return;
-      const auto begin = Stopwatch::now();
+      const double begin = all_.Processor();
       quota::TreasurerActions actions;
       treasurers_[wire.treasurer].Receive(host_.Now(), *guard, all_.names_[all_.by_address_.at(packet.from)],
                                           *request, &actions);
       Act(wire.treasurer, actions);
-      all_.treasurer_costs_.rest_s += Since(begin);
+      all_.Timed(begin, &all_.treasurer_costs_.rest_s);
     } else if (leases_) {
       leases_->Receive(packet.from, std::get<fleet::LeaseMessage>(wire.message));
     }
@@ -85,19 +80,19 @@
     for (std::size_t i = 0; i < treasurers_.size(); ++i) {
       const auto guard = treasurers_[i].Next() <= now ? leases_->Guard(i) : std::nullopt;
       if (!guard) continue;
-      const auto begin = Stopwatch::now();
+      const double begin = all_.Processor();
       quota::TreasurerActions actions;
       treasurers_[i].Tick(now, *guard, &actions);
       Act(i, actions);
-      all_.treasurer_costs_.rest_s += Since(begin);
+      all_.Timed(begin, &all_.treasurer_costs_.rest_s);
     }
     Serve();
     if (account_.Next() > now) return;
-    const auto begin = Stopwatch::now();
+    const double begin = all_.Processor();
     quota::AccountActions actions;
     account_.Tick(now, &actions);
     Act(actions);
-    all_.gateway_costs_.rest_s += Since(begin);
+    all_.Timed(begin, &all_.gateway_costs_.rest_s);
   }
 
   Time Next() const override {
@@ -116,9 +111,10 @@
     while (const auto arrival = all_.clients_[number_].Take(true_now)) {
       const Time at = all_.clocks_[number_].At(arrival->at);
       const bool timed = ++all_.gateway_costs_.charges % kTimedCharges == 0;
-      const auto begin = timed ? Stopwatch::now() : Stopwatch::time_point();
+      const double begin = timed ? all_.Processor() : 0;
       const quota::Charged charged = account_.Charge(at, all_.partners_[arrival->partner], 1);
-      if (timed) all_.gateway_costs_.charges_s += Since(begin) * static_cast<double>(kTimedCharges);
+      if (timed)
+        all_.gateway_costs_.charges_s += (all_.Processor() - begin) * static_cast<double>(kTimedCharges);
       all_.offered_[arrival->partner].push_back(
           {arrival->at, static_cast<std::uint32_t>(number_), charged.verdict == quota::Verdict::kInside});
     }
@@ -158,6 +154,10 @@
 Crowd::Crowd(const CrowdOptions& options, std::shared_ptr<const quota::Budgets> budgets)
     : options_(options), budgets_(std::move(budgets)), world_(options.seed) {
   const std::size_t count = options.sites * options.per_site;
+  constexpr int kTrials = 1000;
+  const double begin = Processor();
+  for (int i = 0; i < kTrials; ++i) Processor();
+  clock_s_ = (Processor() - begin) / (kTrials + 1);
   for (const auto& [partner, budget] : budgets_->partners) partners_.push_back(partner);
   offered_.resize(partners_.size());
   clients_.resize(count);
--- a/model/quota/scale/crowd.h
+++ b/model/quota/scale/crowd.h
@@ -26,7 +26,8 @@
   std::size_t treasurers = 4;
   std::size_t candidates = 9;  // gateways that ask for the treasurers' leases, one a site in turn
   quota::Timings timings;
-  double clocks_apart = 0.001;  // of what the drift allows
+  double (*processor_s)() = nullptr;  // processor time of this thread so far; null: costs are not timed
+  double clocks_apart = 0.001;        // of what the drift allows
   Moment wide_least = std::chrono::milliseconds(8),
          wide_most = std::chrono::milliseconds(15);  // between sites
 };
@@ -43,7 +44,7 @@
   std::uint64_t messages = 0, bytes = 0;  // sent
   std::uint64_t entries = 0;              // asks, acks, draws, calls and floors in them
   std::uint64_t charges = 0;
-  double charges_s = 0, rest_s = 0;  // time of this machine in the classes: charging; all else
+  double charges_s = 0, rest_s = 0;  // processor time in the classes: charging; all else
 };
 
 class Crowd {
@@ -76,6 +77,11 @@
  private:
   class Program;
   friend class Program;
+  // A measurement's own cost is taken off.
+  void Timed(double begin, double* sum, double times = 1) const {
+    *sum += times * (Processor() - begin - clock_s_);
+  }
+  double Processor() const { return options_.processor_s ? options_.processor_s() : 0; }
 
   const CrowdOptions options_;
   const std::shared_ptr<const quota::Budgets> budgets_;
@@ -92,6 +98,7 @@
   std::vector<Clients> clients_;
   std::vector<std::vector<Offered>> offered_;
   Costs gateway_costs_, treasurer_costs_;
+  double clock_s_ = 0;
   std::uint64_t lives_ = 0;
 };
 
--- a/model/quota/scale/run.cpp
+++ b/model/quota/scale/run.cpp
@@ -79,7 +79,6 @@
   }
 
   Figures All() {
-    const auto began = std::chrono::steady_clock::now();
     const bool moves = options_.scenario == Scenario::kMoving || options_.scenario == Scenario::kShifts;
     if (!moves) Load(0, 1, Moment(0), options_.warm + 3 * options_.counted);
     Until(options_.warm);
@@ -103,7 +102,6 @@
     figures_.gateways = crowd_.gateways();
     figures_.treasurers = crowd_.treasurers();
     figures_.seconds = std::chrono::duration<double>(options_.counted).count();
-    figures_.took_s = std::chrono::duration<double>(std::chrono::steady_clock::now() - began).count();
     return figures_;
   }
 
@@ -114,6 +112,7 @@
     crowd.sites = options.sites;
     crowd.per_site = options.per_site;
     crowd.treasurers = options.treasurers;
+    crowd.processor_s = options.processor_s;
     return crowd;
   }
 
--- a/model/quota/scale/run.h
+++ b/model/quota/scale/run.h
@@ -30,6 +30,7 @@
   Moment warm = std::chrono::seconds(12);
   Moment counted = std::chrono::seconds(20);
   std::uint64_t seed = 1;
+  double (*processor_s)() = nullptr;  // as of Crowd
 };
 
 // By the product, the static division, the central counter and the all-knowing gate.
@@ -47,7 +48,6 @@
   double unanswered = 0;                         // requests that found no central counter
   Costs gateways, treasurers;                    // in the count's time
   double seconds = 0;                            // of the count
-  double took_s = 0;                             // of this machine, for all
 };
 
 Figures Run(const RunOptions& options);
