--- a/tests/quota/account_test.cpp
+++ b/tests/quota/account_test.cpp
@@ -80,6 +80,7 @@
 }
 
 TEST_F(AccountTest, ADrawCountsFromItsAskAndPutsTheFloorAwayUntilItsEnd) {
+  Level(3000);  // more than the floor is enough for
   const std::uint64_t ask = Ask(3000);
   Level(3500);
   const auto acks = Receive(3500, DrawOf(ask, 1, 2 * kOne));
@@ -135,6 +136,22 @@
   EXPECT_GT(last, 0u);
 }
 
+TEST_F(AccountTest, RenewsADrawThatIsAnAnswerThoughItIsLess) {
+  // A tenth of the demand, for 10 s: each renewal well before the end, and not each 250 ms.
+  int answered = 0, unanswered = 0;
+  for (int ms = 0; ms < 10'000; ms += 10) {
+    if (ms % 50 == 0) Charge(ms);
+    if (account_.Next() > At(ms)) continue;
+    for (const Request& request : Tick(ms)) {
+      if (ms >= 2000 && ms < 8000) ++answered;
+      if (ms >= 8000) ++unanswered;
+      if (ms < 8000) Receive(ms, DrawOf(request.ask, request.ask, 2 * kOne));
+    }
+  }
+  EXPECT_LE(answered, 6000 / 500);
+  EXPECT_GE(unanswered, 6);  // each 250 ms from the renewal on that was not answered
+}
+
 TEST_F(AccountTest, ACreditComesBackOnlyWhereItWasCharged) {
   const Charged charged = account_.Charge(At(2500), "isar", 3);
   ASSERT_EQ(charged.verdict, Verdict::kInside);
