Ask again only without an answer, and take along asks that come due soon

A gateway with less than it needs asked each 250 ms, though the treasurer hands out more unasked as soon as there is some; and each partner asked in a message of its own. Now a draw that was taken since the last ask counts as its answer and is renewed with 5/8 of its life left, and an ask takes along all of its treasurer's partners with under 7/8 left.

--- a/src/quota/account.cpp
+++ b/src/quota/account.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "quota/account.h"
 
+#include <algorithm>
 #include <cmath>
 
 #include "quota/failures.h"
@@ -123,19 +124,27 @@
   std::erase_if(asked_, [&](const auto& asked) { return now - asked.second > options_.timings.draw; });
   std::vector<Request> requests(options_.treasurers,
                                 Request{options_.life, budgets_->revision, ask_ + 1, {}, {}});
-  bool asks = false;
+  std::vector<std::pair<const std::string*, Entry*>> soon;
+  const auto ask = [&](const std::string& partner, Entry& entry, Request& request) {
+    request.asks.push_back(entry.account.MakeAsk(now));
+    request.asks.back().held.partner = partner;
+  };
   for (auto it = active_.begin(); it != active_.end();) {
     auto& [partner, entry] = *it;
     Tell(now, partner, *entry, actions);
-    if (!retired_ && entry->account.WantsToAsk(now)) {
-      Ask ask = entry->account.MakeAsk(now);
-      ask.held.partner = partner;
-      requests[TreasurerOf(partner, options_.treasurers)].asks.push_back(std::move(ask));
-      asks = true;
-    }
+    const auto asking = retired_ ? PartnerAccount::Asking::kNo : entry->account.WantsToAsk(now);
+    if (asking == PartnerAccount::Asking::kNow)
+      ask(partner, *entry, requests[TreasurerOf(partner, options_.treasurers)]);
+    else if (asking == PartnerAccount::Asking::kWithOthers)
+      soon.emplace_back(&partner, entry);
     entry->active = !entry->account.Idle(now);
     it = entry->active ? std::next(it) : active_.erase(it);
   }
+  for (const auto& [partner, entry] : soon)
+    if (Request& request = requests[TreasurerOf(*partner, options_.treasurers)]; !request.asks.empty())
+      ask(*partner, *entry, request);
+  const bool asks = std::any_of(requests.begin(), requests.end(),
+                                [](const Request& request) { return !request.asks.empty(); });
   if (asks) asked_.emplace(++ask_, now);
   SendOut(std::move(requests), actions);
   if (now >= greet_at_) {
--- a/src/quota/partner_account.cpp
+++ b/src/quota/partner_account.cpp
@@ -64,6 +64,7 @@
   draw_ = draw.part;
   id_ = id;
   draw_until_ = until;
+  answered_ = true;
   PutFloorAway(until);
   Follow(now);
   return true;
@@ -82,22 +83,26 @@
   Follow(now);
 }
 
-bool PartnerAccount::WantsToAsk(Time now) {
-  if (called_) return true;
+PartnerAccount::Asking PartnerAccount::WantsToAsk(Time now) {
+  if (called_) return Asking::kNow;
   // Before the first ask the bounds are far enough apart for their difference to overflow.
   const Span since = asked_at_ == Time::min() ? timings_->draw : now - asked_at_;
-  if (since < Demand::kBin) return false;
+  if (since < Demand::kBin) return Asking::kNo;
   const Milli demand = demand_.Estimate(now);
   const Milli slack = asked_for_ / 4 + 2 * demand_.Largest(now);
   const bool drawn = now < draw_until_;
-  if (drawn && (std::abs(demand - asked_for_) > slack || (demand == 0) != (asked_for_ == 0))) return true;
-  if (demand == 0 || since < timings_->ask) return false;
-  if (InForce(now).rate < demand) return true;
-  return drawn && draw_until_ - now < timings_->draw * 5 / 8;
+  if (drawn && (std::abs(demand - asked_for_) > slack || (demand == 0) != (asked_for_ == 0)))
+    return Asking::kNow;
+  if (demand == 0 || since < timings_->ask) return Asking::kNo;
+  if (InForce(now).rate < demand && !(drawn && answered_)) return Asking::kNow;
+  if (!drawn) return Asking::kNo;
+  const Span left = draw_until_ - now;
+  if (left < timings_->draw * 5 / 8) return Asking::kNow;
+  return left < timings_->draw * 7 / 8 ? Asking::kWithOthers : Asking::kNo;
 }
 
 Ask PartnerAccount::MakeAsk(Time now) {
-  called_ = false;
+  called_ = answered_ = false;
   asked_at_ = now;
   asked_for_ = demand_.Estimate(now);
   return {Held(now), std::min(asked_for_, kMostRate), std::min(demand_.Largest(now), kMostBurst)};
--- a/src/quota/partner_account.h
+++ b/src/quota/partner_account.h
@@ -48,8 +48,10 @@
   const FloorTerms& floor() const { return floor_; }
 
   // Whether it is time to ask. A shift of demand, up or down, is told at once; a gateway that has less than
-  // it needs asks each Timings::ask; one that has enough renews well before the end.
-  bool WantsToAsk(Time now);
+  // it needs and no answer asks each Timings::ask; one that has a draw by its last ask renews it well before
+  // the end, as a treasurer that has more for it says so unasked.
+  enum class Asking { kNo, kWithOthers, kNow };  // kWithOthers: soon, and now if a message goes anyway
+  Asking WantsToAsk(Time now);
   // What the ask says. Counts as made.
   Ask MakeAsk(Time now);
   // The treasurer wants to be asked.
@@ -73,7 +75,7 @@
   Time draw_until_ = Time::min();
   Bucket bucket_;
   Demand demand_;
-  bool called_ = false;
+  bool called_ = false, answered_ = false;  // answered_: a draw was taken since the last ask
   Time asked_at_ = Time::min();
   Milli asked_for_ = 0;
 };
