Split messages by what their entries really take

Each entry counted with six figures of 20 digits, so that a message of 1,000 bytes carried five asks where some 25 fit. Now it counts with its own text. 100 asks of usual figures take at most 6 messages (20 before); figures of 64 bits still fit (AreSplitToFitADatagramAndLoseNothing).

--- a/src/quota/messages.cpp
+++ b/src/quota/messages.cpp
@@ -11,11 +11,38 @@
 using nlohmann::json;
 
 constexpr std::uint64_t kMostMs = 600'000;
-constexpr std::size_t kMostEntries = 256;  // of one list in a message
-// Bytes of JSON text beside the entries; and of an entry beside its name: brackets, commas, quotes and six
-// figures of at most 20 digits.
-constexpr std::size_t kMessageBytes = 140;
-constexpr std::size_t kEntryBytes = 12 + 6 * 21;
+constexpr std::size_t kMostEntries = 256;   // of one list in a message
+constexpr std::size_t kMessageBytes = 140;  // of JSON text beside the entries, at most
+
+json EntryOf(const Ask& ask) {
+  return {ask.held.partner,
+          ask.held.draw.token,
+          ask.held.draw.number,
+          ask.held.away_ms,
+          static_cast<std::uint64_t>(ask.demand),
+          static_cast<std::uint64_t>(ask.least)};
+}
+json EntryOf(const Ack& ack) { return {ack.partner, ack.draw.token, ack.draw.number, ack.away_ms}; }
+json EntryOf(const Draw& draw) {
+  return {draw.partner,
+          draw.ask,
+          draw.number,
+          static_cast<std::uint64_t>(draw.part.rate),
+          static_cast<std::uint64_t>(draw.part.depth),
+          draw.life_ms};
+}
+json EntryOf(const Floor& floor) {
+  return {floor.partner, static_cast<std::uint64_t>(floor.part.rate),
+          static_cast<std::uint64_t>(floor.part.depth)};
+}
+json EntryOf(const std::string& partner) { return partner; }
+
+template <typename Entry>
+json ListOf(const std::vector<Entry>& entries) {
+  json list = json::array();
+  for (const Entry& entry : entries) list.push_back(EntryOf(entry));
+  return list;
+}
 
 // What follows throws json::exception or std::invalid_argument on anything out of form.
 std::uint64_t FigureIn(const json& value) {
@@ -99,10 +126,10 @@
  public:
   explicit Packer(Message empty) : empty_(std::move(empty)) {}
 
-  template <typename Entry, typename Name>
-  void Add(const std::vector<Entry>& entries, std::vector<Entry> Message::*list, Name name) {
+  template <typename Entry>
+  void Add(const std::vector<Entry>& entries, std::vector<Entry> Message::*list) {
     for (const Entry& entry : entries) {
-      const std::size_t bytes = kEntryBytes + json(name(entry)).dump().size();
+      const std::size_t bytes = EntryOf(entry).dump().size() + 1;  // and a comma
       if (messages_.empty() || taken_ + bytes > kMostMessage) {
         messages_.push_back(empty_);
         taken_ = kMessageBytes;
@@ -120,30 +147,20 @@
   std::size_t taken_ = 0;
 };
 
-const auto kPartner = [](const auto& entry) -> const std::string& { return entry.partner; };
-
 }  // namespace
 
 json ToJson(const Request& request) {
-  json asks = json::array(), acks = json::array();
-  for (const Ask& ask : request.asks)
-    asks.push_back({ask.held.partner, ask.held.draw.token, ask.held.draw.number, ask.held.away_ms,
-                    static_cast<std::uint64_t>(ask.demand), static_cast<std::uint64_t>(ask.least)});
-  for (const Ack& ack : request.acks)
-    acks.push_back({ack.partner, ack.draw.token, ack.draw.number, ack.away_ms});
-  return {{"l", request.life}, {"r", request.revision}, {"i", request.ask}, {"a", asks}, {"k", acks}};
+  return {{"l", request.life},
+          {"r", request.revision},
+          {"i", request.ask},
+          {"a", ListOf(request.asks)},
+          {"k", ListOf(request.acks)}};
 }
 
 json ToJson(const Answer& answer) {
-  json draws = json::array(), floors = json::array();
-  for (const Draw& draw : answer.draws)
-    draws.push_back({draw.partner, draw.ask, draw.number, static_cast<std::uint64_t>(draw.part.rate),
-                     static_cast<std::uint64_t>(draw.part.depth), draw.life_ms});
-  for (const Floor& floor : answer.floors)
-    floors.push_back({floor.partner, static_cast<std::uint64_t>(floor.part.rate),
-                      static_cast<std::uint64_t>(floor.part.depth)});
-  return {{"l", answer.life}, {"r", answer.revision}, {"t", answer.token}, {"g", answer.agreed},
-          {"d", draws},       {"c", answer.calls},    {"f", floors}};
+  return {{"l", answer.life},          {"r", answer.revision},      {"t", answer.token},
+          {"g", answer.agreed},        {"d", ListOf(answer.draws)}, {"c", ListOf(answer.calls)},
+          {"f", ListOf(answer.floors)}};
 }
 
 Result<Request> RequestFromJson(const json& root, const std::string& from) {
@@ -174,16 +191,16 @@
 
 std::vector<Request> Split(const Request& request) {
   Packer<Request> packer({request.life, request.revision, request.ask, {}, {}});
-  packer.Add(request.asks, &Request::asks, [](const Ask& ask) { return ask.held.partner; });
-  packer.Add(request.acks, &Request::acks, kPartner);
+  packer.Add(request.asks, &Request::asks);
+  packer.Add(request.acks, &Request::acks);
   return packer.Done();
 }
 
 std::vector<Answer> Split(const Answer& answer) {
   Packer<Answer> packer({answer.life, answer.revision, answer.token, answer.agreed, {}, {}, {}});
-  packer.Add(answer.draws, &Answer::draws, kPartner);
-  packer.Add(answer.calls, &Answer::calls, [](const std::string& partner) { return partner; });
-  packer.Add(answer.floors, &Answer::floors, kPartner);
+  packer.Add(answer.draws, &Answer::draws);
+  packer.Add(answer.calls, &Answer::calls);
+  packer.Add(answer.floors, &Answer::floors);
   return packer.Done();
 }
 
--- a/tests/quota/messages_test.cpp
+++ b/tests/quota/messages_test.cpp
@@ -98,5 +98,12 @@
   EXPECT_TRUE(Split(Request{}).empty());
 }
 
+TEST(QuotaMessages, CarryManyPartnersOfUsualFigures) {
+  Request request{1'234'567, 3, 1200, {}, {}};
+  for (int i = 0; i < 100; ++i)
+    request.asks.push_back({{"partner-" + std::to_string(i), {3, 123'456}, 1875}, 20'000, 1000});
+  EXPECT_LE(Split(request).size(), 6u);
+}
+
 }  // namespace
 }  // namespace brackenspoke::quota
