--- a/src/policy/cold_budget.h
+++ b/src/policy/cold_budget.h
@@ -41,7 +41,8 @@
     const double least =
         x.settings.fall_multiple * x.settings.cold_from * kColdLeast / (x.settings.balancers * processes);
     const double paid = std::max(rate, least);
-    return paid > 0 && x.now - s.turn_since >= s.turn_phase * std::max(window, Duration(std::max(hinted, mean) / paid));
+    return paid > 0 &&
+           x.now - s.turn_since >= s.turn_phase * std::max(window, Duration(std::max(hinted, mean) / paid));
   }
 
   void Sent(Server& s, double work) const {
