--- a/src/proxy/fleet_link/discovery_duty.cpp
+++ b/src/proxy/fleet_link/discovery_duty.cpp
@@ -1,7 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "fleet_link/discovery_duty.h"
 
-#include <chrono>
 #include <nlohmann/json.hpp>
 #include <unordered_set>
 
@@ -10,13 +9,12 @@
 #include "core/module_driver.h"
 #include "core/server_directory.h"
 #include "fleet/failures.h"
+#include "fleet_link/fact_life.h"
 #include "fleet_link/fleet_link.h"
 
 namespace brackenspoke::proxy {
 namespace {
 
-constexpr std::chrono::hours kFactLasts{12};  // of what the holder makes known, unless it is renewed
-
 Discovery::Options OptionsOf(const Config& config) {
   Discovery::Options options;
   options.address = config.discovery;
--- a/src/proxy/fleet_link/maintenance_duty.cpp
+++ b/src/proxy/fleet_link/maintenance_duty.cpp
@@ -1,7 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "fleet_link/maintenance_duty.h"
 
-#include <chrono>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <string>
@@ -10,14 +9,10 @@
 #include "base/log.h"
 #include "desk/servers_out.h"
 #include "fleet/lease/failures.h"
+#include "fleet_link/fact_life.h"
 #include "fleet_link/fleet_link.h"
 
 namespace brackenspoke::proxy {
-namespace {
-
-constexpr std::chrono::hours kFactLasts{12};  // of what the holder makes known, unless it is renewed
-
-}  // namespace
 
 void MaintenanceDuty::Change(const OperatorCall& call, OnReply reply) {
   const bool out = call.verb == OperatorCall::Verb::kDetach;
