Leases: what lasts runs out, changes of voters are searched, requests are repeated

Need: a displaced member gave its leases back at once, a treasurer's with draws out, too, so that two processes could hand out one draw twice. The rule for changing voters was argued and never played.

Change: an act whose effects last says so to its guard (LeaseGuard::Outlasts); the treasurer does for its draws. Such a lease is never given back before, by whatever event, nor by asking anew or by the answer to a late grant. Requests are repeated under their number to voters that have not answered, give-backs are said four times, a young vote's denial asks to wait for a sixth of the term, a candidate that cannot have a majority gives up at once, takes over its own old vote, and asks again at times that grow apart. A voter's file is kept anew under a neighbouring set of voters at the start, else a voter that granted nothing between two changes was refused for good. leases.cpp becomes requests, bid, complaints, voters and kept_votes. The schedules change voters in service; lasting effects are checked.

The new mutants effects_forgotten, asks_within_effects, other_set_taken and smaller_token_again are found.

--- a/model/fleet/member.cpp
+++ b/model/fleet/member.cpp
@@ -57,7 +57,7 @@
       allowance_(options_.section.most_bytes_per_second),
       allowed_at_(host.Now()),
       membership_(MembershipOf(options_, host), host.Now(), static_cast<fleet::Membership::Outlet&>(*this)),
-      votes_(host.Disk(), options_.pool) {
+      votes_(host.Disk(), options_.pool, options_.section.seeds) {
   if (options_.section.lease_term.count() > 0) StartLeases();
 }
 
@@ -70,7 +70,7 @@
   of.drift = options_.section.lease_drift;
   of.duties = options_.duties;
   of.seed = options_.seed;
-  of.votes = votes_.Load();
+  of.votes = votes_.Load().value();
   of.store = &votes_;
   leases_.emplace(std::move(of), host_.Now(), static_cast<fleet::Leases::Outlet&>(*this));
 }
--- a/model/lease/schedule.h
+++ b/model/lease/schedule.h
@@ -2,7 +2,8 @@
 //
 // Leases among five or seven members of a World, under faults drawn from a seed: crashes with and without
 // disks, stalls, cuts, loss, delay, doubled and overtaken messages, wall clocks that jump, monotonic clocks
-// at any rate within the bound, give-backs, and time between an act's check and its reaching the resource.
+// at any rate within the bound, give-backs, time between an act's check and its reaching the resource, acts
+// with effects that last, and voters that are changed.
 #ifndef BRACKENSPOKE_MODEL_LEASE_SCHEDULE_H_
 #define BRACKENSPOKE_MODEL_LEASE_SCHEDULE_H_
 
@@ -12,6 +13,7 @@
 #include <vector>
 
 #include "model/fault.h"
+#include "model/lease/operator.h"
 
 namespace brackenspoke::model {
 
@@ -19,6 +21,8 @@
   std::size_t members = 5;
   Moment length = std::chrono::seconds(60), faults_until = std::chrono::seconds(45);
   std::size_t faults = 14;
+  VoterChange change = VoterChange::kNone;
+  bool files = false;  // no disk is lost, and every voter begins with a file of votes
 };
 
 struct ScheduleResult {
--- a/model/mutants/guard_outlives_give_back.leases.sed
+++ b/model/mutants/guard_outlives_give_back.requests.sed
@@ -1,2 +1,2 @@
 # A guard holds although its lease was given back.
-/if (duty\.over) \*std::exchange/d
+/duty\.lease->over = true;/d
--- a/model/mutants/late_grant.leases.sed
+++ b/model/mutants/late_grant.bid.sed
@@ -1,2 +1,2 @@
 # A grant counts from the newest request, whichever it answers.
-s/sent->second/duty.sent.rbegin()->second/g
+s/sent->second/sent_.rbegin()->second/g
--- /dev/null
+++ b/src/fleet/lease/complaints.h
@@ -0,0 +1,32 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Denials that an operator has to mend: each told once for each voter and reason, until the voter grants.
+#ifndef BRACKENSPOKE_FLEET_LEASE_COMPLAINTS_H_
+#define BRACKENSPOKE_FLEET_LEASE_COMPLAINTS_H_
+
+#include <boost/asio/ip/udp.hpp>
+#include <optional>
+#include <set>
+#include <utility>
+
+#include "base/error/failure.h"
+#include "fleet/lease/message.h"
+#include "fleet/lease/voter.h"
+
+namespace brackenspoke::fleet {
+
+class Complaints {
+ public:
+  using Endpoint = boost::asio::ip::udp::endpoint;
+
+  // Nothing if the denial is no fault, or is told already. `terms` are the asker's.
+  std::optional<Failure> Of(const Endpoint& voter, const LeaseMessage& denial, const LeaseTerms& terms);
+  void Forget(const Endpoint& voter);
+
+ private:
+  std::set<std::pair<Endpoint, LeaseMessage::Why>> told_;
+};
+
+}  // namespace brackenspoke::fleet
+
+#endif  // BRACKENSPOKE_FLEET_LEASE_COMPLAINTS_H_
--- a/src/fleet/lease/guard.cpp
+++ b/src/fleet/lease/guard.cpp
@@ -1,11 +1,17 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "fleet/lease/guard.h"
 
+#include <algorithm>
+
 #include "fleet/lease/failures.h"
 
 namespace brackenspoke::fleet {
 
-bool LeaseGuard::Holds(Time now) const { return over_ && !*over_ && now < deadline_; }
+bool LeaseGuard::Holds(Time now) const { return lease_ && !lease_->over && now < deadline_; }
+
+void LeaseGuard::Outlasts(Time until) const {
+  if (lease_) lease_->effects_until = std::max(lease_->effects_until, std::min(until, deadline_));
+}
 
 Result<void> Fence::Admit(const LeaseGuard& guard, Time now) {
   if (!guard.Holds(now)) return tl::unexpected(Failure(kPastDeadline, guard.duty()));
--- a/src/fleet/lease/guard.h
+++ b/src/fleet/lease/guard.h
@@ -28,6 +28,12 @@
   DutyKind kind = DutyKind::kExclusive;
 };
 
+// A lease while it is held, as its holder and its guards see it.
+struct HeldLease {
+  bool over = false;
+  Time effects_until{};  // of what was done under it
+};
+
 // Of a lease that its maker held when it made this. A renewal does not lengthen it: take a new one.
 class LeaseGuard {
  public:
@@ -39,16 +45,19 @@
   Time deadline() const { return deadline_; }  // of this process's monotonic clock
   // Whether to act is still right: before the deadline, and the lease has not been given back.
   bool Holds(Time now) const;
+  // What was done under this has its effects until then, at most until the deadline: before, the lease is not
+  // given back, so that nobody has it sooner than it runs out.
+  void Outlasts(Time until) const;
 
  private:
   friend class Leases;
-  LeaseGuard(std::string duty, Token token, Time deadline, std::shared_ptr<const bool> over)
-      : duty_(std::move(duty)), token_(token), deadline_(deadline), over_(std::move(over)) {}
+  LeaseGuard(std::string duty, Token token, Time deadline, std::shared_ptr<HeldLease> lease)
+      : duty_(std::move(duty)), token_(token), deadline_(deadline), lease_(std::move(lease)) {}
 
   std::string duty_;
   Token token_;
   Time deadline_;
-  std::shared_ptr<const bool> over_;  // of the lease; null once moved from
+  std::shared_ptr<HeldLease> lease_;  // null once moved from
 };
 
 // The resource's side: what it has seen of each duty.
--- a/src/fleet/lease/leases.h
+++ b/src/fleet/lease/leases.h
@@ -13,15 +13,17 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "base/time.h"
+#include "fleet/lease/bid.h"
+#include "fleet/lease/complaints.h"
 #include "fleet/lease/guard.h"
 #include "fleet/lease/message.h"
 #include "fleet/lease/voter.h"
+#include "fleet/lease/voters.h"
 
 namespace brackenspoke::fleet {
 
@@ -39,9 +41,6 @@
   bool may_vote = true;              // false: this voter grants nothing
 };
 
-// The same for the same voters in whatever order (xxHash).
-std::uint64_t VotersHash(std::vector<LeaseOptions::Endpoint> voters);
-
 enum class Role { kAlone, kHolder, kFollower, kWaiting };
 std::string_view Name(Role role);
 
@@ -73,7 +72,8 @@
   void Tick(Time now, std::uint64_t wall);
   Time Next() const;
 
-  // Gives up what it holds, and asks for nothing until Resume. No guard holds any more.
+  // Gives up what it holds, and asks for nothing until Resume. No guard holds any more. A lease whose acts
+  // have effects (LeaseGuard::Outlasts) is not given back, but runs out.
   void Release(Time now);
   void Resume(Time now);
 
@@ -104,26 +104,28 @@
     Token token = 0, largest = 0;  // largest: that has been heard of
     Time until{};                  // of the lease held or followed, or of the wait
     Time next_try{};
-    std::shared_ptr<bool> over;  // of the lease held
-    // The token that is asked for, or held and renewed; 0: none. When each request for it was sent, and of
-    // each voter the newest of these moments that it has granted.
-    Token asked = 0;
-    std::map<std::uint64_t, Time> sent;
-    std::map<Endpoint, Time> granted;
-    bool asking = false;  // the newest request is not answered by a majority yet
-    Time answers_by{};
+    std::shared_ptr<HeldLease> lease;  // while held
+    Time effects_until{};              // of what was done under leases that are over
+    Bid bid;
+    int failed = 0;  // bids, one after another
+    // The last token that was given back: how often, and when, that is said again.
+    Token given_back = 0;
+    int releases = 0;
+    Time next_release{};
   };
 
   void Ask(Time now, const std::string& name, Duty& duty, Token token);
+  void Repeat(Time now, const std::string& name, Duty& duty);
+  LeaseMessage Request(const std::string& name, const Duty& duty) const;
+  std::size_t Majority() const;
   void OnGrant(Time now, const Endpoint& from, const LeaseMessage& message);
   void OnDeny(Time now, const Endpoint& from, const LeaseMessage& message);
-  void Complain(const Endpoint& voter, const LeaseMessage& denial);
   void GiveBack(Time now, const std::string& name, Duty& duty);
+  void SayReleased(Time now, const std::string& name, Duty& duty);
   void EndRequest(Time now, const std::string& name, Duty& duty);
   void OnTimeUp(Time now, const std::string& name, Duty& duty);
   void Set(Time now, const std::string& name, Duty& duty, Role role, Time until, std::string_view why);
   void Deliver(Time now, const Endpoint& to, const LeaseMessage& message);
-  std::optional<Time> Reached(const Duty& duty) const;
   static bool Ends(const Duty& duty);
   Span Random(Span from, Span to);
 
@@ -134,7 +136,7 @@
   std::map<std::string, Duty> duties_;
   std::uint64_t requests_;   // the number of the last one
   std::uint64_t draws_ = 0;  // of random spans
-  std::set<std::pair<Endpoint, LeaseMessage::Why>> complained_;
+  Complaints complaints_;
   bool released_ = false;
 };
 
--- a/src/fleet/lease/vote_file.cpp
+++ b/src/fleet/lease/vote_file.cpp
@@ -2,42 +2,16 @@
 #include "fleet/lease/vote_file.h"
 
 #include <algorithm>
-#include <iterator>
 #include <limits>
 #include <system_error>
+#include <utility>
 
 #include "base/log.h"
 #include "fleet/lease/failures.h"
+#include "fleet/lease/kept_votes.h"
 #include "state/snapshot.h"
 
 namespace brackenspoke::fleet {
-namespace {
-
-using nlohmann::json;
-
-json Pack(const StoredVotes& votes) {
-  json packed = json::object();
-  for (const auto& [duty, vote] : votes) packed[duty] = {vote.holder, vote.token, vote.largest, vote.span_ms};
-  return packed;
-}
-
-// Throws json::exception on what is out of form.
-StoredVotes Unpack(const json& packed) {
-  StoredVotes votes;
-  for (const auto& [duty, vote] : packed.items())
-    votes[duty] = {vote.at(0).get<std::string>(), vote.at(1).get<Token>(), vote.at(2).get<Token>(),
-                   vote.at(3).get<std::uint64_t>()};
-  return votes;
-}
-
-std::string Joined(const std::vector<std::string>& words) {
-  std::string text;
-  for (const std::string& word : words) text.append(text.empty() ? "" : " ").append(word);
-  return text;
-}
-
-}  // namespace
-
 VoteFile::VoteFile(std::string path, std::string name, std::vector<std::string> voters)
     : path_(std::move(path)), name_(std::move(name)), voters_(std::move(voters)) {
   std::sort(voters_.begin(), voters_.end());
@@ -52,23 +26,23 @@
     return tl::unexpected(Failure(kVotesRefused, path_, std::string(state::Name(*why))));
   }
   const state::Snapshot& snapshot = std::get<state::Snapshot>(read);
+  KeptVotes kept;
   try {
-    const auto before = snapshot.body.at("voters").get<std::vector<std::string>>();
-    std::vector<std::string> differ;
-    std::set_symmetric_difference(before.begin(), before.end(), voters_.begin(), voters_.end(),
-                                  std::back_inserter(differ));
-    if (differ.size() > 1) return tl::unexpected(Failure(kVotersLeapt, path_, "before: " + Joined(before)));
-    sequence_ = snapshot.sequence;
-    return Unpack(snapshot.body.at("votes"));
-  } catch (const json::exception& error) {
+    kept = KeptFromJson(snapshot.body);
+  } catch (const nlohmann::json::exception& error) {
     return tl::unexpected(Failure(kVotesRefused, path_, error.what()));
   }
+  const bool others = kept.voters != voters_;
+  auto votes = Adopt(std::move(kept), voters_);
+  if (!votes) return tl::unexpected(Failure(votes.error().kind(), path_, votes.error().where()));
+  sequence_ = snapshot.sequence;
+  if (others) Save(*votes);
+  return std::move(*votes);
 }
 
 bool VoteFile::Save(const StoredVotes& votes) {
-  const json body{{"voters", voters_}, {"votes", Pack(votes)}};
   try {
-    state::WriteWhole(path_, "", state::Encode({name_, sequence_ + 1, 0, body}));
+    state::WriteWhole(path_, "", state::Encode({name_, sequence_ + 1, 0, ToJson({voters_, votes})}));
     ++sequence_;
     return true;
   } catch (const std::system_error& error) {
--- a/src/fleet/lease/vote_file.h
+++ b/src/fleet/lease/vote_file.h
@@ -19,7 +19,8 @@
   VoteFile(std::string path, std::string name, std::vector<std::string> voters);
 
   // What a life before has kept; nothing where there is no file. Refuses with kVotesRefused a file that does
-  // not pass, and with kVotersLeapt one of voters that differ from the configured ones by more than one.
+  // not pass, and with kVotersLeapt one of voters that differ from the configured ones by more than one. One
+  // of other voters is kept anew under the configured ones, so that the next change is told from this one.
   Result<std::optional<StoredVotes>> Load();
 
   // Written whole and fsynced. The file of before is not kept: a vote forgotten is worse than none known.
--- a/src/fleet/lease/voter.cpp
+++ b/src/fleet/lease/voter.cpp
@@ -42,7 +42,9 @@
   const auto found = votes_.find(ask.duty);
   if (found == votes_.end()) return votes_.size() < kMostVotes ? Why::kNone : Why::kFull;
   const Vote& vote = found->second;
-  if (now < vote.until) return Same(vote.kept, ask) ? Why::kNone : Why::kHeld;
+  // Its holder asks for a larger token only when it has given this one up.
+  const bool again = vote.kept.holder == ask.holder && ask.token > vote.kept.largest;
+  if (now < vote.until) return Same(vote.kept, ask) || again ? Why::kNone : Why::kHeld;
   return ask.token > vote.kept.largest ? Why::kNone : Why::kHeld;
 }
 
@@ -68,7 +70,8 @@
     const StoredVote vote{ask.holder, ask.token, std::max(largest, ask.token),
                           Count(terms_.term + terms_.drift)};
     if ((held != votes_.end() && held->second.kept == vote) || Keep(ask.duty, vote)) {
-      votes_[ask.duty] = {vote, now + span()};
+      const bool same = held != votes_.end() && held->second.kept == vote;
+      votes_[ask.duty] = {vote, now + span(), same ? held->second.fresh_until : now + terms_.term / 6};
       answer.verb = Verb::kGrant;
       answer.token = ask.token;
       return answer;
@@ -79,7 +82,9 @@
   const Vote vote = found == votes_.end() ? Vote{} : found->second;
   answer.token = vote.kept.largest;
   if (silent_until_ < Time::max()) {
-    const Span wait = std::max(Span(0), std::max(vote.until, silent_until_) - now);
+    // Who has no majority by then gives it back.
+    const Time until = now < vote.fresh_until ? std::min(vote.until, vote.fresh_until) : vote.until;
+    const Span wait = std::max(Span(0), std::max(until, silent_until_) - now);
     answer.left_ms = Count(std::chrono::ceil<milliseconds>(wait));
   }
   answer.term_ms = Count(terms_.term);
@@ -97,8 +102,9 @@
 void Voter::Fingerprint(Time now, std::vector<std::uint64_t>* words) const {
   words->push_back(WordOf(now, silent_until_));
   for (const auto& [duty, vote] : votes_)
-    for (const std::uint64_t word : {WordOf(duty), WordOf(vote.kept.holder), vote.kept.token,
-                                     vote.kept.largest, vote.kept.span_ms, WordOf(now, vote.until)})
+    for (const std::uint64_t word :
+         {WordOf(duty), WordOf(vote.kept.holder), vote.kept.token, vote.kept.largest, vote.kept.span_ms,
+          WordOf(now, vote.until), WordOf(now, vote.fresh_until)})
       words->push_back(word);
 }
 
--- a/src/fleet/lease/voter.h
+++ b/src/fleet/lease/voter.h
@@ -65,6 +65,7 @@
   struct Vote {
     StoredVote kept;
     Time until{};
+    Time fresh_until{};  // by then its holder has a majority, or has given the token back
   };
   LeaseMessage::Why Judge(Time now, const LeaseMessage& ask) const;
   bool Keep(const std::string& duty, const StoredVote& vote);
--- a/src/quota/treasurer.cpp
+++ b/src/quota/treasurer.cpp
@@ -112,6 +112,7 @@
       handed.draw.partner = partner;
       answer(handed.gateway, handed.life).draws.push_back(std::move(handed.draw));
     }
+    guard.Outlasts(entry.treasury.commitments().LastEnd(now));
     for (const GatewayId gateway : entry.treasury.Calls(now, gateways_, floors))
       answer(gateway, 0).calls.push_back(partner);
     Schedule(partner, entry);
