--- a/src/fleet/node/node.cpp
+++ b/src/fleet/node/node.cpp
@@ -1,8 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "fleet/node/node.h"
 
-#include <spdlog/fmt/fmt.h>
-
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -10,7 +8,6 @@
 #include "base/log.h"
 #include "base/wall_clock.h"
 #include "fleet/failures.h"
-#include "fleet/lease/failures.h"
 #include "fleet/node/describe.h"
 
 namespace brackenspoke::fleet {
@@ -87,41 +84,6 @@
   if (!stopped_) Arm();
 }
 
-void Node::StartLeases() {
-  if (section_.lease_term.count() == 0) return Restore(kept_);
-  LeaseOptions options;
-  options.holder = holder_ = fmt::format("{}/{}.{}", name_, membership_->self().last.incarnation,
-                                         Steady::now().time_since_epoch().count());
-  options.address = section_.advertise;
-  options.voters = section_.seeds;
-  options.term = section_.lease_term;
-  options.drift = section_.lease_drift;
-  options.duties = options_.duties;
-  options.seed = seed_;
-  LoadVotes(&options);
-  leases_.emplace(std::move(options), Steady::now(), static_cast<Leases::Outlet&>(*this));
-  if (away_) leases_->Release(Steady::now());
-  Restore(kept_);
-}
-
-// Once the address is had: the process that had it before votes no more.
-void Node::LoadVotes(LeaseOptions* options) {
-  if (options_.votes.empty()) return;
-  std::vector<std::string> voters;
-  for (const Udp::endpoint& voter : options->voters) voters.push_back(Text(voter));
-  votes_ = std::make_unique<VoteFile>(options_.votes, name_, std::move(voters));
-  options->store = votes_.get();
-  auto loaded = votes_->Load();
-  if (loaded) {
-    options->votes = std::move(*loaded);
-    return;
-  }
-  options->may_vote = &loaded.error().kind() != &kVotersLeapt;
-  log::Error(options_.component, loaded.error());
-}
-
-void Node::OnFailure(const Failure& failure) { log::Error(options_.component, failure); }
-
 Node::Kept Node::Keep() const {
   Kept kept = kept_;
   if (membership_) kept.incarnation = membership_->self().last.incarnation;
@@ -137,85 +99,9 @@
   for (const auto& [duty, token] : kept.tokens) leases_->Outgrow(duty, token);
 }
 
-void Node::Send(const Udp::endpoint& to, const LeaseMessage& lease) {
-  Message message;
-  message.kind = Message::Kind::kLease;
-  message.sender = membership_->self().last;
-  message.lease = lease;
-  Send(to, message);
-}
-
-void Node::OnRole(const std::string& duty, Role role, Token token, Span left, std::string_view why) {
-  const auto left_ms = std::chrono::duration_cast<std::chrono::milliseconds>(left).count();
-  log::Info(options_.component, fmt::format("lease duty={} role={} token={} left_ms={} why={}", duty,
-                                            Name(role), token, left_ms, why));
-  facts_.OnRole(duty, role);
-  const auto guard = Guard(duty);
-  if (!guard) return;
-  const auto published = Publish(*guard, "lease/" + duty, {{"holder", holder_}, {"left_ms", left_ms}}, left);
-  if (!published) log::Warn(options_.component, published.error());
-}
-
-bool Node::Does(const std::string& duty) const {
-  // An exclusive one never without a lease, though the address is not had yet.
-  const auto exclusive = [&](const DutySpec& each) {
-    return each.name == duty && each.kind == DutyKind::kExclusive;
-  };
-  if (!leases_) return !leased() || std::none_of(options_.duties.begin(), options_.duties.end(), exclusive);
-  const Role role = leases_->role(Steady::now(), duty);
-  return role == Role::kHolder || role == Role::kAlone;
-}
-
-std::optional<LeaseGuard> Node::Guard(const std::string& duty) const {
-  return leases_ ? leases_->Guard(Steady::now(), duty) : std::nullopt;
-}
-
-bool Node::FollowerOf(const std::string& duty) const {
-  return leases_ && leases_->role(Steady::now(), duty) == Role::kFollower;
-}
-
-Token Node::HeldToken(const std::string& duty) const {
-  return leases_ && leases_->role(Steady::now(), duty) == Role::kHolder ? leases_->token(duty) : 0;
-}
-
-std::string Node::HolderOf(const std::string& duty) const { return leases_ ? leases_->holder(duty) : ""; }
-
-Result<void> Node::Publish(const LeaseGuard& guard, const std::string& key, nlohmann::json value,
-                           Span lasts) {
-  if (!guard.Holds(Steady::now())) return tl::unexpected(Failure(kPastDeadline, key));
-  const UnixMs now = UnixMilliseconds();
-  const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(lasts).count();
-  state_.Tell(DutyFact{guard.duty(), key, guard.token(), now + static_cast<UnixMs>(ms), std::move(value)});
-  return {};
-}
-
-std::string Node::DescribeLeases() const {
-  if (!leases_) return "";
-  const Time now = Steady::now();
-  std::string line;
-  for (const auto& [duty, kind] : options_.duties)
-    line += fmt::format("{}{} {} holder={} token={} left={:.1f}s kind={}", line.empty() ? "" : ", ", duty,
-                        Name(leases_->role(now, duty)),
-                        leases_->holder(duty).empty() ? "-" : leases_->holder(duty), leases_->token(duty),
-                        Seconds(leases_->left(now, duty)), Name(kind));
-  return line;
-}
-
 void Node::Tell(Verdict verdict) { state_.Tell(std::move(verdict)); }
 void Node::Tell(KeySite site) { state_.Tell(std::move(site)); }
 
-void Node::OnFact(const DutyFact& fact) {
-  if (fact.key != "lease/" + fact.duty) return facts_.OnDutyFact(fact);
-  if (!leases_ || !fact.value.is_object()) return;
-  const auto holder = fact.value.find("holder"), left = fact.value.find("left_ms");
-  if (holder == fact.value.end() || !holder->is_string() || left == fact.value.end() ||
-      !left->is_number_integer())
-    return;
-  const auto ms = std::clamp<std::int64_t>(left->get<std::int64_t>(), 0, section_.lease_term.count());
-  leases_->Hear(Steady::now(), fact.duty, holder->get<std::string>(), fact.token,
-                std::chrono::milliseconds(ms));
-}
-
 void Node::Arm() {
   const Time next = leases_ ? std::min(membership_->Next(), leases_->Next()) : membership_->Next();
   if (next == armed_) return;
