--- a/src/fleet/membership/probes.cpp
+++ b/src/fleet/membership/probes.cpp
@@ -10,6 +10,7 @@
 using Kind = Message::Kind;
 
 constexpr std::size_t kMostSuspectsAsked = 8;  // beside the probe's own target, per interval
+constexpr std::size_t kAskedByFleet = 8;       // pings that a suspect gets per interval, in the mean
 
 }  // namespace
 
@@ -31,11 +32,20 @@
   const Probe ended = *std::exchange(probe_, std::nullopt);
   const Member* target = claims_.table().Find(ended.target);
   if (ended.acked || !target || !Present(target->last.state)) return;
-  // A helper that says nothing speaks against this member's own health; without helpers the failure does.
-  health_.Worsen(ended.asked_others && ended.nacks_due >= 0 ? ended.nacks_due : 1);
+  health_.Worsen(SilentHelpers(ended));
   claims_.Suspect(now, ended.target, options_.name);
 }
 
+// A helper that says nothing speaks against this member's own health, unless it may be gone itself; without
+// helpers the failure does.
+int Probes::SilentHelpers(const Probe& probe) const {
+  if (!probe.had_helpers) return 1;
+  return static_cast<int>(std::count_if(probe.helpers.begin(), probe.helpers.end(), [this](const auto& name) {
+    const Member* helper = claims_.table().Find(name);
+    return helper && helper->last.state == MemberState::kAlive;
+  }));
+}
+
 void Probes::Begin(Time now) {
   next_ = now + health_.Scaled(options_.probe_interval);
   PingSuspects();
@@ -53,8 +63,9 @@
   mailer_.Ping(target->last, probe_->sequence);
   const auto helpers = claims_.table().Sample(static_cast<std::size_t>(options_.indirect_probes), true,
                                               probe_->target, random_);
-  probe_->nacks_due = helpers.empty() ? -1 : static_cast<int>(helpers.size());
+  probe_->had_helpers = !helpers.empty();
   for (const Member* helper : helpers) {
+    probe_->helpers.insert(helper->last.name);
     Message message = mailer_.Make(Kind::kPingReq, probe_->sequence);
     message.target = probe_->target;
     message.target_address = target->last.address;
@@ -62,10 +73,12 @@
   }
 }
 
-// Each ping tells the suspect what it is accused of, and brings its refutation back.
+// Each ping tells the suspect what it is accused of, and brings its refutation back. All members hold the
+// suspicion: some of them ask, not each.
 void Probes::PingSuspects() {
+  std::uniform_int_distribution<std::size_t> one_of(0, claims_.present() - 1);
   for (const std::string& name : claims_.suspicions().First(kMostSuspectsAsked))
-    mailer_.Ping(claims_.table().Find(name)->last, ++last_sequence_);
+    if (one_of(random_) < kAskedByFleet) mailer_.Ping(claims_.table().Find(name)->last, ++last_sequence_);
 }
 
 // Round the members in an order that is shuffled anew for each round: within 2n - 1 probes each one's turn
@@ -113,7 +126,7 @@
 }
 
 void Probes::OnNack(const Message& message) {
-  if (probe_ && probe_->sequence == message.sequence && probe_->nacks_due > 0) --probe_->nacks_due;
+  if (probe_ && probe_->sequence == message.sequence) probe_->helpers.erase(message.sender.name);
 }
 
 void Probes::Clear() {
--- a/src/fleet/membership/probes.h
+++ b/src/fleet/membership/probes.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -46,11 +47,12 @@
     std::string target;
     std::uint64_t sequence = 0;
     Time indirect_at{}, ends_at{};
-    bool acked = false, asked_others = false;
-    int nacks_due = 0;
+    bool acked = false, asked_others = false, had_helpers = false;
+    std::set<std::string> helpers{};  // that were asked and have not answered
   };
 
   void AskOthers();
+  int SilentHelpers(const Probe& probe) const;
   void PingSuspects();
   std::optional<std::string> NextTarget();
 
