Spill's herd search: cut a site off just as it goes over capacity

The search seldom lost the very estimates that matter. Now half of the gateways elsewhere hear nothing of a site from the moment it goes over or back.

--- a/tests/spill/herd_test.cpp
+++ b/tests/spill/herd_test.cpp
@@ -21,7 +21,8 @@
   std::uint64_t token() const { return 1; }
 };
 
-// Site a has `spare`; the others go over capacity and back at random moments. Each message between two sites
+// Site a has `spare`; the others go over capacity and back at random moments, and just then many a gateway
+// elsewhere hears nothing more of that site for a while. Each message between two sites
 // is lost or late at random; wall clocks differ by up to the skew.
 struct Herd {
   Herd(int sites, int gateways, unsigned seed) : random(seed), directory(Sites(sites, gateways)) {
@@ -40,13 +41,14 @@
 
   void Estimate(double spare) {
     for (auto& [site, ambassador] : ambassadors) {
-      if (site != "a" && Below(20) == 0) over[site] = !over[site];
+      const bool turns = site != "a" && Below(20) == 0;
+      if (turns) over[site] = !over[site];
       const double mean = site == "a" ? spare : (over[site] ? 0 : 500);
       ambassador.Heard(now(), "1", {mean, mean, Milliseconds(0)});
       const auto made = ambassador.Make(now(), Wall(site), Lease{});
       for (std::size_t to = 0; to < spills.size(); ++to) {
         Milliseconds& deaf = deaf_until[{to, site}];
-        if (Below(15) == 0) deaf = passed + Milliseconds(Below(6000));
+        if (turns ? Below(2) == 0 : Below(60) == 0) deaf = passed + Milliseconds(Below(6000));
         if (passed < deaf || Below(100) < 20) continue;
         const int late = Below(10) == 0 ? Below(6000) : Below(300);
         under_way.push({passed + Milliseconds(late), {to, *made}});
