--- a/tests/model/sync_test.cpp
+++ b/tests/model/sync_test.cpp
@@ -64,7 +64,8 @@
   std::size_t sent = 0;
   for (const auto& piece :
        b.state.Unlike(testing::kNow, theirs, *rc::gen::arbitrary<std::uint64_t>(), 1000, 1000)) {
-    const nlohmann::json listed = piece.entries;
+    auto listed = nlohmann::json::array();
+    for (const nlohmann::json& entry : piece.entries) listed.push_back(entry);
     sent += listed.size();
     a.state.Receive(testing::kNow, listed);
     for (const auto& back : a.state.Lacking(testing::kNow, listed, piece.slice, 1000)) {
