--- a/tests/federation/gateways.h
+++ b/tests/federation/gateways.h
@@ -124,6 +124,10 @@
 
  private:
   static std::string HostOf(int i) { return federation::HostOf(i / kPerSite, i % kPerSite); }
+  void Set(const std::string& fault) const {
+    const std::string answer = Relay("FAULT " + fault);
+    if (!answer.starts_with("ACK")) throw std::runtime_error(answer + ": " + fault);
+  }
   std::string Bind(int i) const { return HostOf(i) + ":" + PortText(i); }
   std::string Pool(int i) { return HostOf(i) + ":" + std::to_string(relay_.Port(Name(i))); }
   static std::string Way(int from, int to) { return Name(from) + ">" + Name(to); }
