Give the model's sites that spill a name of their own

model/fleet and model/spill both had a class Federation in one namespace, which breaks the one-definition rule as soon as a program links both.

--- a/bench/spill_model.cpp
+++ b/bench/spill_model.cpp
@@ -23,25 +23,25 @@
 
 struct Scenario {
   const char* name;
-  void (*begin)(Federation&);
+  void (*begin)(SpillFederation&);
 };
 
 const std::array<Scenario, 3> kScenarios{{
-    {"one at 150 %", [](Federation& f) { f.SetLoad(0, 1.5); }},
+    {"one at 150 %", [](SpillFederation& f) { f.SetLoad(0, 1.5); }},
     {"one of three lost",
-     [](Federation& f) {
+     [](SpillFederation& f) {
        for (std::size_t s = 0; s < std::max<std::size_t>(1, f.options().sites / 3); ++s)
          f.servers(s).Resize(0);
      }},
     {"all at 110 %",
-     [](Federation& f) {
+     [](SpillFederation& f) {
        for (std::size_t s = 0; s < f.options().sites; ++s) f.SetLoad(s, 1.1);
      }},
 }};
 
-Tally Run(const Scenario& scenario, FederationOptions options, std::chrono::seconds skipped,
+Tally Run(const Scenario& scenario, SpillFederationOptions options, std::chrono::seconds skipped,
           std::chrono::seconds counted) {
-  Federation federation(options);
+  SpillFederation federation(options);
   for (std::size_t s = 0; s < options.sites; ++s) federation.SetLoad(s, 0.6);
   federation.world().RunUntil(kBefore);
   scenario.begin(federation);
@@ -105,7 +105,7 @@
       for (int seed = 1; seed <= seeds; ++seed) {
         std::array<double, kStrategies.size()> served{};
         for (std::size_t i = 0; i < kStrategies.size(); ++i) {
-          FederationOptions options;
+          SpillFederationOptions options;
           options.sites = count;
           options.cores = cores;
           options.spill.slack = std::chrono::milliseconds(slack);
--- a/model/spill/federation.cpp
+++ b/model/spill/federation.cpp
@@ -5,11 +5,11 @@
 
 namespace brackenspoke::model {
 
-std::string Federation::SiteName(std::size_t site) {
+std::string SpillFederation::SiteName(std::size_t site) {
   return std::string(site < 10 ? "site-0" : "site-") + std::to_string(site);
 }
 
-Federation::Federation(FederationOptions options)
+SpillFederation::SpillFederation(SpillFederationOptions options)
     : options_(options),
       world_(options.seed),
       load_(options.sites, 0),
@@ -40,53 +40,53 @@
     }
 }
 
-std::vector<std::size_t> Federation::Machines(std::size_t site) const {
+std::vector<std::size_t> SpillFederation::Machines(std::size_t site) const {
   std::vector<std::size_t> machines;
   for (std::size_t g = 0; g < options_.gateways; ++g) machines.push_back(Machine(site, g));
   return machines;
 }
 
-void Federation::Appoint(std::size_t site, std::size_t gateway) {
+void SpillFederation::Appoint(std::size_t site, std::size_t gateway) {
   holders_.at(site) = {gateway, ++last_token_};
 }
 
-void Federation::StartCount() {
+void SpillFederation::StartCount() {
   count_from_ = world_.now();
   tallies_.assign(options_.sites, {});
 }
 
-Tally Federation::Sum() const {
+Tally SpillFederation::Sum() const {
   Tally sum;
   for (const Tally& tally : tallies_) sum.Add(tally);
   return sum;
 }
 
-bool Federation::WorthIt(const Ask& ask) {
+bool SpillFederation::WorthIt(const Ask& ask) {
   double offered = 0;
   for (std::size_t s = 0; s < options_.sites; ++s) offered += s == ask.site ? 0 : servers_[s].Offer();
   const double chance = price_.Ask(Time(world_.now()), ask.demand->worth, ask.work_ms, offered).chance;
   return std::uniform_real_distribution<double>(0, 1)(world_.random()) < chance;
 }
 
-void Federation::Asked(const Ask& ask) {
+void SpillFederation::Asked(const Ask& ask) {
   if (ask.at < count_from_) return;
   Tally& tally = tallies_[ask.site];
   ++tally.asked;
   tally.offered += ask.demand->worth;
 }
 
-void Federation::Ran(const Ask& ask) {
+void SpillFederation::Ran(const Ask& ask) {
   if (ask.demand->effect == Effect::kUnsafe && ++unsafe_runs_[ask.id] == 2) ++ran_twice_;
 }
 
-bool Federation::Final(const Ask& ask) {
+bool SpillFederation::Final(const Ask& ask) {
   if (final_.size() <= ask.id) final_.resize(ask.id * 2 + 1, false);
   if (final_[ask.id]) ++answered_twice_;
   final_[ask.id] = true;
   return ask.at >= count_from_;
 }
 
-void Federation::Answered(const Ask& ask, bool elsewhere) {
+void SpillFederation::Answered(const Ask& ask, bool elsewhere) {
   if (!Final(ask)) return;
   Tally& tally = tallies_[ask.site];
   ++tally.answered;
@@ -97,14 +97,14 @@
   (elsewhere ? tally.elsewhere : tally.own) += ask.demand->worth;
 }
 
-void Federation::GivenUp(const Ask& ask, std::optional<spill::Why> why) {
+void SpillFederation::GivenUp(const Ask& ask, std::optional<spill::Why> why) {
   if (!Final(ask)) return;
   Tally& tally = tallies_[ask.site];
   ++tally.given_up;
   if (why) tally.lost[static_cast<std::size_t>(*why)] += ask.demand->worth;
 }
 
-void Federation::CountSpilled(const Ask& ask) {
+void SpillFederation::CountSpilled(const Ask& ask) {
   if (ask.at >= count_from_) ++tallies_[ask.site].spilled;
 }
 
--- a/model/spill/federation.h
+++ b/model/spill/federation.h
@@ -31,7 +31,7 @@
   kAllKnowing,  // where it is worth the offer, to the neighbour that has the most room when it arrives there
 };
 
-struct FederationOptions {
+struct SpillFederationOptions {
   std::size_t sites = 2, gateways = 3;  // gateways of each site
   int cores = 10;                       // of each site
   Strategy strategy = Strategy::kOff;
@@ -40,12 +40,12 @@
   std::chrono::milliseconds estimate_delay{0};  // of estimates between sites, beyond the network's
 };
 
-class Federation {
+class SpillFederation {
  public:
-  explicit Federation(FederationOptions options);
+  explicit SpillFederation(SpillFederationOptions options);
 
   World& world() { return world_; }
-  const FederationOptions& options() const { return options_; }
+  const SpillFederationOptions& options() const { return options_; }
   const spill::Directory& directory() const { return directory_; }
   Servers& servers(std::size_t site) { return servers_.at(site); }
 
@@ -95,7 +95,7 @@
  private:
   bool Final(const Ask& ask);
 
-  const FederationOptions options_;
+  const SpillFederationOptions options_;
   World world_;
   spill::Directory directory_;
   std::deque<Servers> servers_;
--- a/model/spill/gateway.cpp
+++ b/model/spill/gateway.cpp
@@ -48,12 +48,12 @@
 
 }  // namespace
 
-SpillGateway::SpillGateway(Federation& federation, Host& host, std::size_t site, std::size_t gateway)
+SpillGateway::SpillGateway(SpillFederation& federation, Host& host, std::size_t site, std::size_t gateway)
     : federation_(federation),
       host_(host),
       site_(site),
       gateway_(gateway),
-      self_{Federation::SiteName(site), "gateway-" + std::to_string(gateway)},
+      self_{SpillFederation::SiteName(site), "gateway-" + std::to_string(gateway)},
       clients_(SeedOf(federation.options().seed, site, gateway, 0)),
       random_(SeedOf(federation.options().seed, site, gateway, 1)),
       meter_(host.Now()),
@@ -86,7 +86,7 @@
     next_arrival_ = next_report_;  // it may be set by then
     return;
   }
-  const FederationOptions& options = federation_.options();
+  const SpillFederationOptions& options = federation_.options();
   const double per_s = load * 1000.0 * options.cores / kMeanWork / static_cast<double>(options.gateways);
   next_arrival_ += std::max(Moment(1), clients_.Gap(per_s));
   Ask ask = clients_.Draw();
--- a/model/spill/gateway.h
+++ b/model/spill/gateway.h
@@ -19,12 +19,12 @@
 
 namespace brackenspoke::model {
 
-class Federation;
+class SpillFederation;
 
 class SpillGateway : public Program {
  public:
   // `site` and `gateway` are its numbers. `federation` and `host` outlive this.
-  SpillGateway(Federation& federation, Host& host, std::size_t site, std::size_t gateway);
+  SpillGateway(SpillFederation& federation, Host& host, std::size_t site, std::size_t gateway);
 
   void Receive(const Packet& packet) override;
   void Tick() override;
@@ -57,7 +57,7 @@
   void TellEstimate();
   std::size_t Below(std::size_t bound) { return static_cast<std::size_t>(random_() % bound); }
 
-  Federation& federation_;
+  SpillFederation& federation_;
   Host& host_;
   const std::size_t site_, gateway_;
   const spill::Neighbour self_;
--- a/tests/spill/model_test.cpp
+++ b/tests/spill/model_test.cpp
@@ -19,9 +19,10 @@
   std::vector<Tally> sites;
   Tally sum;
 };
-Outcome Play(FederationOptions options, double others, const std::function<void(Federation&)>& faults = {}) {
+Outcome Play(SpillFederationOptions options, double others,
+             const std::function<void(SpillFederation&)>& faults = {}) {
   options.cores = 8;
-  Federation federation(options);
+  SpillFederation federation(options);
   for (std::size_t s = 0; s < options.sites; ++s) federation.SetLoad(s, others);
   if (faults) faults(federation);
   federation.world().RunUntil(kBefore);
@@ -38,8 +39,8 @@
   return outcome;
 }
 
-FederationOptions With(Strategy strategy, std::size_t sites) {
-  FederationOptions options;
+SpillFederationOptions With(Strategy strategy, std::size_t sites) {
+  SpillFederationOptions options;
   options.sites = sites;
   options.strategy = strategy;
   return options;
@@ -71,11 +72,11 @@
   struct Case {
     const char* name;
     double least_gain;  // of what spill gains without the fault
-    std::function<void(Federation&)> faults;
+    std::function<void(SpillFederation&)> faults;
     std::chrono::milliseconds late{0};
   };
   const auto cut = [](std::size_t from, std::size_t to) {
-    return [from, to](Federation& f) {
+    return [from, to](SpillFederation& f) {
       f.world().At(seconds(30),
                    [&f, from, to] { f.world().network().Cut(f.Machines(from), f.Machines(to)); });
     };
@@ -85,20 +86,20 @@
       {"cut to the neighbour", 0.3, cut(0, 1)},
       {"cut from the neighbour", 0.3, cut(1, 0)},
       {"the ambassador of the site that spills dies", 0.6,
-       [](Federation& f) {
+       [](SpillFederation& f) {
          f.world().At(seconds(30), [&f] { f.Vacate(0); });
          f.world().At(seconds(34), [&f] { f.Appoint(0, 1); });
        }},
       {"the neighbour's ambassador dies and nobody follows", 0.3,
-       [](Federation& f) { f.world().At(seconds(30), [&f] { f.Vacate(1); }); }},
+       [](SpillFederation& f) { f.world().At(seconds(30), [&f] { f.Vacate(1); }); }},
       {"the neighbour is overloaded in turn", 0.2,
-       [](Federation& f) { f.world().At(seconds(30), [&f] { f.SetLoad(1, 1.5); }); }},
+       [](SpillFederation& f) { f.world().At(seconds(30), [&f] { f.SetLoad(1, 1.5); }); }},
   };
   const Outcome off = Play(With(Strategy::kOff, 3), 0.6), on = Play(With(Strategy::kEstimates, 3), 0.6);
   const double gain = on.sum.served() - off.sum.served();
   for (const Case& each : kTable) {
     SCOPED_TRACE(each.name);
-    FederationOptions options = With(Strategy::kEstimates, 3);
+    SpillFederationOptions options = With(Strategy::kEstimates, 3);
     options.estimate_delay = each.late;
     const Outcome faulty = Play(options, 0.6, each.faults);
     const Outcome without = Play(With(Strategy::kOff, 3), 0.6, each.faults);
