--- a/src/fleet/lease/requests.cpp
+++ b/src/fleet/lease/requests.cpp
@@ -12,7 +12,7 @@
 using std::chrono::milliseconds;
 using Verb = LeaseMessage::Verb;
 
-constexpr int kMostFailed = 3;
+constexpr int kMostFailed = 2;
 constexpr int kReleases = 4;  // times that a give-back is said, as it is not answered
 constexpr int kRepeats = 24;  // of a request in a term, if it lasted for one
 
