Notice a client's end behind whatever it has sent while its request is held

Symptom: a client that closed while its request was held stayed unnoticed where a byte of a next request lay before the end, while its body was held back, and while its answer was passed on; its request was then sent on, also further times.

Cause: Session::WatchClient waited for readability once and gave up at the first byte; where a body is passed on nothing was read between two pieces; BeginAnswer ended the watch, and a request read before was begun after the answer.

One read is out at most; its bytes are only parsed once it has come back. An end while an answer is passed on closes the connection, one while a whole answer is written lets that go out and nothing after it be begun.

Ruled out: EPOLLRDHUP by asio (its reactor does not ask for it), MSG_PEEK (sees only the queue's front). Not seen: an end that the client's own system holds back because the proxy's receive window is full (bodies over 64 KiB only).

--- a/src/proxy/client/request_reader.cpp
+++ b/src/proxy/client/request_reader.cpp
@@ -26,18 +26,16 @@
 
 RequestReader::RequestReader() : buffer_(kMostHeader + kMostChunkHeader) {}
 
-bool RequestReader::Next() {
+void RequestReader::Next() {
   parser_.emplace();
   parser_->header_limit(kMostHeader);
   parser_->body_limit(kMostBody);
   received_ = 0;
   if (buffer_.size() > 0) {
     began_ = heard_at_ = Steady::now();
-    return true;
+  } else if (!std::exchange(fresh_, false)) {
+    began_ = {};
   }
-  buffer_.shrink_to_fit();
-  if (!std::exchange(fresh_, false)) began_ = {};
-  return false;
 }
 
 boost::asio::mutable_buffer RequestReader::Room(std::size_t most) {
--- a/src/proxy/client/request_reader.h
+++ b/src/proxy/client/request_reader.h
@@ -29,12 +29,14 @@
 
   // The connection has begun.
   void Open() { began_ = heard_at_ = Steady::now(); }
-  // Another request; whether some of it is here already.
-  bool Next();
+  // Another request, of which some may be here already.
+  void Next();
 
   // Room for the bytes that come next, `most` of them; empty if there is none.
   boost::asio::mutable_buffer Room(std::size_t most = kAll);
   void Came(std::size_t n);
+  // Gives back the memory of what has been parsed; no room may be in use.
+  void FreeRoom() { buffer_.shrink_to_fit(); }
   // Bytes that have come and have not been parsed.
   std::size_t unparsed() const { return buffer_.size(); }
   // When bytes have come last, while a request comes.
--- a/src/proxy/client/session.cpp
+++ b/src/proxy/client/session.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http/write.hpp>
 #include <utility>
 
+#include "client/peer_end.h"
 #include "client/replies.h"
 #include "spill/incoming.h"
 
@@ -19,13 +20,15 @@
 using Tcp = asio::ip::tcp;
 
 constexpr std::size_t kFirstPiece = 1024;               // read of a next request before it is looked at
+constexpr std::chrono::milliseconds kLookForEnd{25};    // between two looks for the client's end
 constexpr std::chrono::seconds kSlowWrite{10};          // for an answer, or a piece of it, to be taken
 constexpr std::chrono::seconds kDrain{2};               // for the peer to notice the end
 constexpr std::chrono::milliseconds kLastAnswers{150};  // before the end of a stop
 
 }  // namespace
 
-Clients::Session::Session(Clients& owner, Tcp::socket socket) : owner_(&owner), stream_(std::move(socket)) {}
+Clients::Session::Session(Clients& owner, Tcp::socket socket)
+    : owner_(&owner), stream_(std::move(socket)), look_(stream_.get_executor()) {}
 
 void Clients::Session::Start() {
   Error ignored;
@@ -45,6 +48,7 @@
   if (state_ == State::kClosed) return;
   state_ = State::kClosed;
   stream_.close();
+  look_.cancel();
   if (const auto relay = std::exchange(relay_, nullptr)) relay->Abandon();
   if (const auto on_piece = std::exchange(on_piece_, nullptr)) on_piece(Piece::Broken());
   hold_.Release();
@@ -64,35 +68,82 @@
   quiet_since_ = Steady::now();
   body_ = {};
   spent_ = false;
-  if (reader_.Next()) return ReadHead();
+  reader_.Next();
+  if (reading_) return CancelRead();
+  ReadOn();
+}
+
+void Clients::Session::ReadOn() { reader_.unparsed() > 0 ? ReadHead() : ReadMoreOfHead(); }
+
+void Clients::Session::ReadMoreOfHead() {
   stream_.expires_at(reader_.HeadDue());
-  ReadSome(kFirstPiece);
+  ReadSome();
 }
 
-void Clients::Session::ReadSome(std::size_t most) {
-  const auto room = reader_.Room(most);
+// What the request that is being read needs next. The stream's time limit applies.
+void Clients::Session::ReadSome() {
+  const bool rests = in_head_ && reader_.unparsed() == 0;
+  if (rests) reader_.FreeRoom();
+  const auto room = reader_.Room(rests      ? kFirstPiece
+                                 : in_head_ ? RequestReader::kAll
+                                            : owner_->buffers_.piece());
   if (room.size() == 0) return OnUnreadable(http::error::header_limit);
-  stream_.async_read_some(room, [self = shared_from_this()](const Error& failed, std::size_t n) {
-    if (!self->Reading() && !(self->Holds() && self->following_)) return;
-    if (failed) return self->Break();
-    self->reader_.Came(n);
-    self->owner_->Heard(self.get());
-    self->OnBytes();
+  reading_ = true;
+  stream_.async_read_some(
+      room, [self = shared_from_this()](const Error& failed, std::size_t n) { self->OnRead(failed, n); });
+}
+
+// Reads while nobody asks for more, as far as there is room: a client that closes its connection is seen
+// behind all that it has sent before, of this request or the next ones.
+void Clients::Session::ReadAhead() {
+  if (reading_ || ended_) return;
+  const auto room = reader_.Room(following_ ? owner_->buffers_.piece() : kFirstPiece);
+  if (room.size() == 0) return LookForEnd();
+  reading_ = true;
+  stream_.socket().async_read_some(
+      room, [self = shared_from_this()](const Error& failed, std::size_t n) { self->OnRead(failed, n); });
+}
+
+// The reader's bytes stay as they are until OnRead has come, which is at once.
+void Clients::Session::CancelRead() {
+  Error ignored;
+  stream_.socket().cancel(ignored);
+}
+
+// Of any read: one that has been cancelled may have brought bytes before.
+void Clients::Session::OnRead(const Error& failed, std::size_t n) {
+  reading_ = false;
+  if (state_ == State::kClosed) return;
+  if (draining_) return failed && failed != asio::error::operation_aborted ? Close() : Drain();
+  if (failed && failed != asio::error::operation_aborted) return OnClientEnd();
+  if (n > 0) {
+    reader_.Came(n);
+    owner_->Heard(this);
+  }
+  if (Reading()) return in_head_ ? ReadOn() : ReadBody();
+  Holds() && on_piece_ ? GivePiece() : ReadAhead();
+}
+
+// Behind bytes that there is no room for.
+void Clients::Session::LookForEnd() {
+  look_.expires_after(kLookForEnd);
+  look_.async_wait([self = shared_from_this()](const Error& cancelled) {
+    if (cancelled || self->reading_ || !self->Owes()) return;
+    PeerEnded(self->stream_.socket().native_handle()) ? self->OnClientEnd() : self->ReadAhead();
   });
 }
 
-void Clients::Session::OnBytes() {
-  if (in_head_) return ReadHead();
-  following_ ? GivePiece() : ReadBody();
+// What is being written to it is still written; nothing that comes later would be for anybody.
+void Clients::Session::OnClientEnd() {
+  ended_ = true;
+  if (state_ != State::kWriting || relay_) Break();
 }
 
 void Clients::Session::ReadHead() {
   Error failed;
   const bool whole = reader_.ParseHead(&failed);
   if (failed) return OnUnreadable(failed);
-  if (whole) return OnHead();
-  stream_.expires_at(reader_.HeadDue());
-  ReadSome();
+  whole ? OnHead() : ReadMoreOfHead();
 }
 
 void Clients::Session::OnHead() {
@@ -147,7 +198,7 @@
 
 void Clients::Session::ReadMoreOfBody() {
   stream_.expires_at(reader_.BodyDue());
-  ReadSome(owner_->buffers_.piece());
+  ReadSome();
 }
 
 void Clients::Session::OnWhole() {
@@ -156,10 +207,9 @@
   coming_.message.body() = std::move(body_);
   coming_.message.prepare_payload();
   Submit();
-  if (Holds()) WatchClient();
 }
 
-// What has come waits for whoever asks for it, and nothing more is read until then.
+// What has come waits for whoever asks for it, and no more is read until then than there is room for.
 void Clients::Session::OnLarge() {
   if (coming_.message.method() == http::verb::get) {
     last_ = true;
@@ -181,6 +231,7 @@
   // It may be answered before its number is known here.
   const RequestId request = owner_->handler_.OnRequest(std::move(coming_), shared_from_this());
   request_ = request;
+  if (Holds() && !on_piece_) ReadAhead();
 }
 
 // At a stop, no later than there is somebody to answer.
@@ -194,6 +245,7 @@
   on_piece_ = std::move(on_piece);
   spent_ = true;
   reader_.GoOn();
+  if (reading_) return CancelRead();
   GivePiece();
 }
 
@@ -211,9 +263,9 @@
     stream_.expires_never();
     piece.due = Due();
     owner_->handler_.OnUploaded(request_, piece.due);
-    if (Holds()) WatchClient();
   }
   if (on_piece) on_piece(std::move(piece));
+  if (Holds() && !on_piece_) ReadAhead();
 }
 
 // The client has gone, or has taken too long.
@@ -231,21 +283,6 @@
   Write(UnreadableReply(failed));
 }
 
-// A client that closes its connection while its request is held has gone.
-void Clients::Session::WatchClient() {
-  stream_.socket().async_wait(
-      Tcp::socket::wait_read, [self = shared_from_this(), of = request_](const Error& failed) {
-        if (failed || !self->Holds() || self->request_ != of) return;
-        Error error;
-        char byte;
-        self->stream_.socket().non_blocking(true, error);
-        if (!error) self->stream_.socket().receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, error);
-        // The start of a next request: it waits for this one's answer, and is not looked at before.
-        if (!error || error == asio::error::would_block) return;
-        self->Break();
-      });
-}
-
 // ---- writing ------------------------------------------------------------------------------------------
 void Clients::Session::Served(HttpResponse answer, Buffers::Hold hold) {
   if (!Holds()) return;
@@ -304,8 +341,8 @@
     if (const std::string estimate = owner_->handler_.EstimateText(); !estimate.empty())
       writer_.head().set(std::string(spill::kEstimateHeader), estimate);
   writer_.Begin();
-  Error ignored;
-  stream_.socket().cancel(ignored);  // the watch for the client's end, or for more of its body
+  if (reading_ && last_) CancelRead();  // it may wait for more of the body, for so long
+  ReadAhead();
 }
 
 void Clients::Session::WriteAnswer(std::string piece, bool last) {
@@ -341,6 +378,7 @@
   writer_.Clear();
   hold_.Release();
   if (last_) return CloseGently();
+  if (ended_) return Close();
   answered_ = true;
   Read();
   if (owner_ && owner_->waiting_for_room_) owner_->Accept();
@@ -356,10 +394,10 @@
 }
 
 void Clients::Session::Drain() {
-  stream_.async_read_some(reader_.Discard(), [self = shared_from_this()](const Error& failed, std::size_t) {
-    if (self->state_ != State::kWriting) return;
-    if (failed) return self->Close();
-    self->Drain();
+  if (reading_) return CancelRead();
+  reading_ = true;
+  stream_.async_read_some(reader_.Discard(), [self = shared_from_this()](const Error& failed, std::size_t n) {
+    self->OnRead(failed, n);
   });
 }
 
--- a/src/proxy/client/session.h
+++ b/src/proxy/client/session.h
@@ -4,6 +4,7 @@
 #ifndef BRACKENSPOKE_PROXY_CLIENT_SESSION_H_
 #define BRACKENSPOKE_PROXY_CLIENT_SESSION_H_
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <list>
 #include <memory>
@@ -59,8 +60,14 @@
   bool Holds() const { return state_ == State::kHeld; }
 
   void Read();
-  void ReadSome(std::size_t most = RequestReader::kAll);
-  void OnBytes();
+  void ReadOn();
+  void ReadMoreOfHead();
+  void ReadSome();
+  void ReadAhead();
+  void OnRead(const Error& failed, std::size_t n);
+  void CancelRead();
+  void LookForEnd();
+  void OnClientEnd();
   void ReadHead();
   void OnHead();
   void Continue();
@@ -73,7 +80,6 @@
   void GivePiece();
   void OnUnreadable(const Error& failed);
   void Break();
-  void WatchClient();
 
   void Write(HttpResponse response);
   void BeginAnswer();
@@ -86,6 +92,7 @@
 
   Clients* owner_;
   boost::beast::tcp_stream stream_;
+  boost::asio::steady_timer look_;  // for the client's end, while the reader has no room
   State state_ = State::kReading;
 
   // The request.
@@ -97,6 +104,8 @@
   Steady::time_point quiet_since_{};  // no request has been here since then, where it is idle
   RequestId request_ = 0;
   OnPiece on_piece_;
+  bool reading_ = false;    // OnRead is still to come
+  bool ended_ = false;      // the client will send nothing more
   bool in_head_ = false;    // the next bytes are of a request's head
   bool following_ = false;  // its body is passed on, and has not come whole
   bool spent_ = false;
