Let a connection that the proxy ends be seen to end, and serve what crosses it

Symptom: a resting connection was closed at once (a newcomer's place, a drain, the stop): a request that crossed this was reset, and with it an answer not read yet. The stop ended the process with the last answer's connection still open.

Cause: Close() straight after the look for bytes; a place was taken from a resting client before anybody was there to have it.

Change: Session::End cancels the read, looks again once it has come back, serves what has come, else shuts the sending side and discards the rest for up to 2 s. Eight such connections have places beside the limit. The stop waits up to 0.2 s for clients to see their ends. An answer that breaks off ends without a reset.

Not run: 20 repeats, sanitizers.

--- a/src/proxy/client/session.cpp
+++ b/src/proxy/client/session.cpp
@@ -37,7 +37,9 @@
   Read();
 }
 
-bool Clients::Session::Idle() { return Reading() && in_head_ && reader_.unparsed() == 0 && !Unread(); }
+bool Clients::Session::Idle() {
+  return Reading() && !ending_ && in_head_ && reader_.unparsed() == 0 && !Unread();
+}
 
 bool Clients::Session::Unread() {
   Error error;
@@ -56,6 +58,15 @@
   if (owner_) owner_->Remove(this);
 }
 
+// What an unfinished read has brought, or the system has and this has not, is known only once the read has
+// come back: the end waits for that.
+void Clients::Session::End() {
+  if (!Reading() || ending_) return;
+  ending_ = true;
+  ending_since_ = Steady::now();
+  reading_ ? CancelRead() : ShutSending();
+}
+
 void Clients::Session::Orphan() {
   owner_ = nullptr;
   Close();
@@ -114,12 +125,14 @@
 void Clients::Session::OnRead(const Error& failed, std::size_t n) {
   reading_ = false;
   if (state_ == State::kClosed) return;
-  if (draining_) return failed && failed != asio::error::operation_aborted ? Close() : Drain();
-  if (failed && failed != asio::error::operation_aborted) return OnClientEnd();
+  const bool cancelled = failed == asio::error::operation_aborted;
+  if (state_ == State::kEnding) return failed && !cancelled ? Close() : DiscardRest();
+  if (failed && !cancelled) return OnClientEnd();
   if (n > 0) {
     reader_.Came(n);
     owner_->Heard(this);
   }
+  if (std::exchange(ending_, false) && n == 0 && !Unread()) return ShutSending();
   if (Reading()) return in_head_ ? ReadOn() : ReadBody();
   Holds() && on_piece_ ? GivePiece() : ReadAhead();
 }
@@ -366,18 +379,19 @@
 }
 
 // The client must be able to tell that its answer is not whole. Where only the connection's end says so, that
-// end is a reset.
+// end is a reset; else it must not be one, which would take the answers before with it.
 void Clients::Session::BreakAnswer() {
   relay_ = nullptr;
+  if (!ends_with_connection_) return ShutSending();
   Error ignored;
-  if (ends_with_connection_) stream_.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+  stream_.socket().set_option(asio::socket_base::linger(true, 0), ignored);
   Close();
 }
 
 void Clients::Session::OnAnswerWritten() {
   writer_.Clear();
   hold_.Release();
-  if (last_) return CloseGently();
+  if (last_) return ShutSending();
   if (ended_) return Close();
   answered_ = true;
   Read();
@@ -385,17 +399,18 @@
 }
 
 // Guards against a reset overtaking the answer: with unread input left, a plain close would send one.
-void Clients::Session::CloseGently() {
-  draining_ = true;
+void Clients::Session::ShutSending() {
+  state_ = State::kEnding;
+  ending_since_ = Steady::now();
   Error ignored;
   stream_.socket().shutdown(Tcp::socket::shutdown_send, ignored);
-  stream_.expires_after(kDrain);  // of it all: a peer must not hold the place by sending on
-  Drain();
+  DiscardRest();
 }
 
-void Clients::Session::Drain() {
+void Clients::Session::DiscardRest() {
   if (reading_) return CancelRead();
   reading_ = true;
+  stream_.expires_at(ending_since_ + kDrain);  // of it all: a peer must not hold the place by sending on
   stream_.async_read_some(reader_.Discard(), [self = shared_from_this()](const Error& failed, std::size_t n) {
     self->OnRead(failed, n);
   });
--- a/src/proxy/client/session.h
+++ b/src/proxy/client/session.h
@@ -24,7 +24,16 @@
   std::list<std::shared_ptr<Session>>::iterator place;
 
   void Start();
+  // At once, whatever of it is under way: its client may see a reset.
   void Close();
+  // Ends a connection on which nothing is owed: its client sees a clean end and has some time to close its
+  // side. A request that comes before the end is served first.
+  void End();
+  // Has been told to end, or ends after its last answer; since when.
+  bool Ending() const { return ending_ || state_ == State::kEnding; }
+  Steady::time_point ending_since() const { return ending_since_; }
+  // Its client can see the end.
+  bool Shut() const { return state_ == State::kEnding; }
   // The owner goes: nothing may be reported any more.
   void Orphan();
 
@@ -35,11 +44,13 @@
   bool Answered() const { return answered_; }
   bool Reading() const { return state_ == State::kReading; }
   // Within a request that has not come whole, of which nothing has been seen since then.
-  bool StoppedSince(Steady::time_point before) const { return Reading() && reader_.heard_at() <= before; }
+  bool StoppedSince(Steady::time_point before) const {
+    return Reading() && !ending_ && reader_.heard_at() <= before;
+  }
   // Bytes have come that nobody has read: the rest of a request, or a whole one, may be among them.
   bool Unread();
   // Owes an answer, or the rest of one.
-  bool Owes() const { return Holds() || (state_ == State::kWriting && !draining_); }
+  bool Owes() const { return Holds() || state_ == State::kWriting; }
 
   // ---- the answer -------------------------------------------------------------------------------------
   void Served(HttpResponse answer, Buffers::Hold hold) override;
@@ -54,7 +65,8 @@
   bool Spent() const override { return spent_; }
 
  private:
-  enum class State { kReading, kHeld, kWriting, kClosed };
+  // kEnding: the sending side is shut, and what comes is not looked at any more.
+  enum class State { kReading, kHeld, kWriting, kEnding, kClosed };
   using Error = boost::system::error_code;
 
   bool Holds() const { return state_ == State::kHeld; }
@@ -87,8 +99,8 @@
   void OnAnswerWritten();
   void PullAnswer();
   void BreakAnswer();
-  void CloseGently();
-  void Drain();
+  void ShutSending();
+  void DiscardRest();
 
   Clients* owner_;
   boost::beast::tcp_stream stream_;
@@ -116,8 +128,9 @@
   Buffers::Hold hold_;
   std::shared_ptr<BodySource> relay_;  // what the rest of it comes from
   bool ends_with_connection_ = false;
-  bool last_ = false;  // the connection closes after this answer
-  bool draining_ = false;
+  bool last_ = false;    // the connection closes after this answer
+  bool ending_ = false;  // told to end, unless a request has come
+  Steady::time_point ending_since_{};
   bool answered_ = false;  // a request on this connection
 };
 
--- a/src/proxy/clients.cpp
+++ b/src/proxy/clients.cpp
@@ -27,6 +27,8 @@
 constexpr std::chrono::milliseconds kSilent{250};  // within a request, after which it may give way to others
 constexpr double kCrowded = 0.75;                  // of the connections there may be, over which none is kept
 constexpr int kAtOnce = 32;                        // connections accepted before others have their turn
+constexpr std::size_t kMostEnding = 8;             // connections that end beside those there may be
+constexpr std::chrono::milliseconds kSeeEnd{200};  // for clients to see their connections' end, at the stop
 
 }  // namespace
 
@@ -73,7 +75,7 @@
 void Clients::AcceptSome() {
   for (int i = 0; i < kAtOnce && !shut_; ++i) {
     const Accepted accepted = AcceptOne();
-    if (accepted == Accepted::kNone) break;
+    if (accepted == Accepted::kNone || accepted == Accepted::kLater) break;
     // The next connections wait in the kernel's queue.
     if (accepted == Accepted::kNoRoom) waiting_for_room_ = true;
     // Guards against spinning when descriptors run out: the queue stays readable all the while.
@@ -83,15 +85,24 @@
 }
 
 Clients::Accepted Clients::AcceptOne() {
-  if (sessions_.size() >= most_connections_() && !MakeRoom()) return Accepted::kNoRoom;
+  // Nobody gives way before somebody is there to take the place.
+  const std::size_t most = most_connections_(), ending = sessions_.size() < most ? 0 : Ending();
+  std::shared_ptr<Session> cut_short, gives_way;
+  if (sessions_.size() >= most + std::min(ending, kMostEnding)) {
+    if (ending >= kMostEnding && !(cut_short = LongestShut())) return Accepted::kLater;
+    if (ending <= kMostEnding && !(gives_way = WhoGivesWay())) return Accepted::kNoRoom;
+  }
   Error failed;
   Tcp::socket socket = acceptor_.accept(io_, failed);
   if (failed == asio::error::would_block) return Accepted::kNone;
   if (failed == asio::error::connection_aborted) return Accepted::kOne;
-  if (failed) {
-    MakeRoom();
+  if (failed) {  // no descriptor is left
+    if (cut_short || (cut_short = LongestShut())) cut_short->Close();
+    if (gives_way || (gives_way = WhoGivesWay())) gives_way->End();
     return Accepted::kFailed;
   }
+  if (cut_short) cut_short->Close();
+  if (gives_way) gives_way->End();
   sessions_.push_back(std::make_shared<Session>(*this, std::move(socket)));
   const auto session = sessions_.back();
   session->place = std::prev(sessions_.end());
@@ -124,24 +135,36 @@
 
 void Clients::Shrink(std::size_t connections) {
   const auto before = Steady::now() - kIdleLongEnough;
-  for (auto it = sessions_.begin(); it != sessions_.end() && sessions_.size() > connections;) {
-    const auto session = *it++;
-    if (session->IdleSince(before)) session->Close();
+  std::size_t open = sessions_.size() - Ending();
+  for (auto it = sessions_.begin(); it != sessions_.end() && open > connections; ++it) {
+    if (!(*it)->IdleSince(before)) continue;
+    (*it)->End();
+    --open;
   }
 }
 
+std::size_t Clients::Ending() const {
+  return static_cast<std::size_t>(
+      std::count_if(sessions_.begin(), sessions_.end(), [](const auto& s) { return s->Ending(); }));
+}
+
+// Of those whose clients can see the end, the one that has shown it for longest; null if there is none.
+std::shared_ptr<Clients::Session> Clients::LongestShut() const {
+  std::shared_ptr<Session> longest;
+  for (const auto& session : sessions_)
+    if (session->Shut() && (!longest || session->ending_since() < longest->ending_since())) longest = session;
+  return longest;
+}
+
 // Whoever has been silent for longest gives way: of those that have had an answer and stand idle, or else of
 // all that are silent. A slow client's first request may be on its way.
-bool Clients::MakeRoom() {
+std::shared_ptr<Clients::Session> Clients::WhoGivesWay() const {
   const auto silent = Steady::now() - kSilent;
   const auto first = [this](auto test) { return std::find_if(sessions_.begin(), sessions_.end(), test); };
   auto found = first([](const auto& s) { return s->Answered() && s->Idle(); });
   if (found == sessions_.end()) found = first([silent](const auto& s) { return s->StoppedSince(silent); });
   if (found == sessions_.end()) found = first([](const auto& s) { return s->Idle(); });
-  if (found == sessions_.end()) return false;
-  const auto session = *found;
-  session->Close();
-  return true;
+  return found == sessions_.end() ? nullptr : *found;
 }
 
 void Clients::Heard(Session* session) { sessions_.splice(sessions_.end(), sessions_, session->place); }
@@ -184,21 +207,20 @@
 
 // Looks again until no answer is owed and no request is half read.
 void Clients::Shut() {
-  const bool late = Steady::now() >= end_ - kLastRequests;
+  const auto now = Steady::now();
+  const bool late = now >= end_ - kLastRequests;
   if (!shut_ && (EmptyQueue() || late)) {
     shut_ = true;
     Error ignored;
     acceptor_.close(ignored);
   }
-  const auto before = Steady::now() - (late ? Steady::duration(0) : idle_at_stop_);
+  const auto before = now - (late ? Steady::duration(0) : idle_at_stop_);
   bool wait = !shut_;
   for (auto it = sessions_.begin(); shut_ && it != sessions_.end();) {
     const auto session = *it++;
-    if (session->IdleSince(before)) {
-      session->Close();
-    } else {
-      wait |= session->Owes() || (session->Reading() && (!late || session->Unread()));
-    }
+    if (session->IdleSince(before)) session->End();
+    wait |= session->Ending() ? now < std::min(session->ending_since() + kSeeEnd, end_)
+                              : session->Owes() || (session->Reading() && (!late || session->Unread()));
   }
   if (!wait) return stopped_();
   grace_.expires_after(kLookAgain);
--- a/src/proxy/clients.h
+++ b/src/proxy/clients.h
@@ -86,13 +86,15 @@
   class Session;
   friend class Session;
 
-  enum class Accepted { kOne, kNone, kNoRoom, kFailed };
+  enum class Accepted { kOne, kNone, kNoRoom, kLater, kFailed };
   void Accept();
   void AcceptSome();
   Accepted AcceptOne();
   void AcceptLater();
   bool EmptyQueue();
-  bool MakeRoom();
+  std::shared_ptr<Session> WhoGivesWay() const;
+  std::shared_ptr<Session> LongestShut() const;
+  std::size_t Ending() const;
   // Something has come from this client.
   void Heard(Session* session);
   void Remove(Session* session);
--- /dev/null
+++ b/tests/client/signals_test.cpp
@@ -0,0 +1,220 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Signals that cross a request, another signal, or a start.
+#include <gtest/gtest.h>
+#include <signal.h>
+
+#include <fstream>
+
+#include "fleet/harness.h"
+#include "leased_port.h"
+#include "loopback.h"
+
+namespace brackenspoke::testing {
+namespace {
+
+using fleet::Folder;
+using fleet::Process;
+
+// The program on an address of its own, its configuration in a file.
+class Program {
+ public:
+  explicit Program(const nlohmann::json& config) {
+    Write(config);
+    Start();
+  }
+  void Write(const nlohmann::json& config) const { std::ofstream(path_) << config.dump(); }
+  void Start() {
+    process = std::make_unique<Process>(
+        PROXY_PATH, std::vector<std::string>{},
+        std::map<std::string, std::string>{{"ROUTER_CONFIG", path_},
+                                           {"ROUTER_LISTEN", "127.0.0.1:" + std::to_string(port_.port())}});
+  }
+  Tcp::endpoint address() const { return port_.tcp(); }
+  bool WaitUntilReady() const {
+    const auto until = std::chrono::steady_clock::now() + kGiveUp;
+    while (std::chrono::steady_clock::now() < until) {
+      try {
+        if (Client(address()).Ask("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").result_int() == 200) return true;
+      } catch (const std::exception&) {  // it does not listen yet
+      }
+      std::this_thread::yield();
+    }
+    return false;
+  }
+
+ private:
+  const LeasedPort port_;
+  const Folder folder_;
+  const std::string path_ = folder_.path / "config.json";
+
+ public:
+  std::unique_ptr<Process> process;
+};
+
+// ---- two signals in one turn --------------------------------------------------------------------------
+TEST(Signals, AReloadAndAStopThatArePendingTogetherBothCount) {
+  Watched<bool> release;
+  Backend backend([&](Tcp::socket& s, const HttpRequest&) {
+    release.WaitFor([](bool r) { return r; });
+    SendRaw(s, OkAnswer("served"));
+    return true;
+  });
+  FakeDiscovery before, after;
+  const auto known = Members(MemberJson("s-1", backend.address()));
+  const Program program(ConfigJson(before.address(), known));
+  ASSERT_TRUE(program.WaitUntilReady());
+  Client client(program.address());
+  client.Send(Look());
+  ASSERT_TRUE(backend.WaitForRequests(1));
+  program.Write(ConfigJson(after.address(), known));
+  // Stopped, it gets both when it goes on.
+  for (const int signal : {SIGSTOP, SIGTERM, SIGHUP, SIGCONT}) program.process->Signal(signal);
+  EXPECT_TRUE(after.WaitForWatches(1));
+  release.Do([](bool& r) { r = true; });
+  EXPECT_EQ(client.Read().result_int(), 200u);
+  EXPECT_EQ(program.process->Reap(), 0);
+}
+
+// As above, in the order that the test says.
+TEST(Signals, AReloadMayComeBeforeOrAfterAStop) {
+  for (const bool reload_first : {true, false}) {
+    Watched<bool> release;
+    Backend backend([&](Tcp::socket& s, const HttpRequest&) {
+      release.WaitFor([](bool r) { return r; });
+      SendRaw(s, OkAnswer("served"));
+      return true;
+    });
+    FakeDiscovery before, after;
+    const auto known = Members(MemberJson("s-1", backend.address()));
+    RunningProxy proxy(ConfigJson(before.address(), known));
+    Client client(proxy.address);
+    client.Send(Look());
+    ASSERT_TRUE(backend.WaitForRequests(1));
+    const auto stopped = std::make_shared<std::promise<void>>();
+    proxy.Ask([&](proxy::Proxy& p) {
+      const auto reload = [&] { p.Reconfigure(ConfigOf(ConfigJson(after.address(), known))); };
+      if (reload_first) reload();
+      p.Stop([stopped] { stopped->set_value(); });
+      if (!reload_first) reload();
+      return 0;
+    });
+    EXPECT_TRUE(after.WaitForWatches(1));
+    release.Do([](bool& r) { r = true; });
+    EXPECT_EQ(client.Read().result_int(), 200u);
+    EXPECT_EQ(stopped->get_future().wait_for(kGiveUp), std::future_status::ready);
+  }
+}
+
+// ---- killed -------------------------------------------------------------------------------------------
+// Some connections have been accepted, with a request under way; the others wait to be. All come to an end,
+// nothing of those that waited was sent on, and the next process serves at the same address at once.
+TEST(Signals, KilledBehindAnAcceptItStartsAgainOnTheSameAddress) {
+  Watched<bool> release;
+  Backend backend([&](Tcp::socket& s, const HttpRequest& r) {
+    if (r["Req-Kind"] == "book") release.WaitFor([](bool r) { return r; });
+    SendRaw(s, OkAnswer("served"));
+    return true;
+  });
+  FakeDiscovery discovery;
+  Program program(ConfigJson(discovery.address(), Members(MemberJson("s-1", backend.address()))));
+  ASSERT_TRUE(program.WaitUntilReady());
+  std::vector<std::unique_ptr<Client>> clients;
+  for (int i = 0; i < 5; ++i) {
+    clients.push_back(std::make_unique<Client>(program.address()));
+    clients.back()->Send(Book());
+  }
+  ASSERT_TRUE(backend.WaitForRequests(1));
+  program.process->Signal(SIGSTOP);
+  for (int i = 0; i < 5; ++i) {
+    clients.push_back(std::make_unique<Client>(program.address()));  // by the system
+    clients.back()->Send(Look());
+  }
+  program.process->Signal(SIGKILL);
+  EXPECT_EQ(program.process->Reap(), 1000 + SIGKILL);
+  for (const auto& client : clients) EXPECT_EQ(client->Read().result_int(), 0u) << "no answer, but an end";
+  for (const HttpRequest& request : backend.seen.Get().requests) EXPECT_EQ(request["Req-Kind"], "book");
+  program.Start();
+  ASSERT_TRUE(program.WaitUntilReady());
+  EXPECT_EQ(Client(program.address()).Ask(Look()).result_int(), 200u);
+  release.Do([](bool& r) { r = true; });
+}
+
+// ---- on kept connections up to the end ----------------------------------------------------------------
+TEST(Signals, AfterAStopEachRequestIsAnsweredForAsLongAsItsConnectionIsOpen) {
+  Backend backend;
+  FakeDiscovery discovery;
+  const Program program(ConfigJson(discovery.address(), Members(MemberJson("s-1", backend.address()))));
+  ASSERT_TRUE(program.WaitUntilReady());
+  Watched<int> asking, unanswered;
+  std::vector<std::thread> clients;
+  for (int i = 0; i < 8; ++i) {
+    clients.emplace_back([&] {
+      Client client(program.address());
+      for (bool first = true;; first = false) {
+        const HttpResponse answer = client.Ask(Look());
+        const bool none = answer.result_int() == 0u;
+        if (none) unanswered.Do([](int& n) { ++n; });
+        if (first) asking.Do([](int& n) { ++n; });
+        if (none || !answer.keep_alive()) break;
+      }
+      EXPECT_TRUE(client.Ended());
+    });
+  }
+  EXPECT_TRUE(asking.WaitFor([](int n) { return n == 8; }));
+  program.process->Signal(SIGTERM);
+  for (std::thread& client : clients) client.join();
+  EXPECT_EQ(unanswered.Get(), 0);
+  EXPECT_EQ(program.process->Reap(), 0);
+}
+
+// ---- descriptors --------------------------------------------------------------------------------------
+// Clients hold all descriptors that they can get, and go on resting: the list is still followed, servers are
+// still dialed, and a newcomer is served.
+TEST(Descriptors, IdleClientsLeaveThoseForDiscoveryAndServers) {
+  Backend one("one"), two("two");
+  FakeDiscovery discovery;
+  constexpr int kDescriptors = 128;
+  auto config = ConfigJson(discovery.address(), Members(MemberJson("s-1", one.address())));
+  config["limits"]["sockets"] = kDescriptors;
+  const Folder folder;
+  const std::string path = folder.path / "config.json";
+  std::ofstream(path) << config.dump();
+  const LeasedPort port;
+  Process process("/bin/sh",
+                  {"-c", "ulimit -n " + std::to_string(kDescriptors) + " && exec \"$0\"", PROXY_PATH},
+                  {{"ROUTER_CONFIG", path}, {"ROUTER_LISTEN", "127.0.0.1:" + std::to_string(port.port())}});
+  ASSERT_TRUE(discovery.WaitForWatches(1));
+  const auto until = std::chrono::steady_clock::now() + kGiveUp;
+  const auto connect = [&]() -> std::unique_ptr<Client> {
+    for (;;) {
+      try {
+        return std::make_unique<Client>(port.tcp());
+      } catch (const std::exception&) {  // it does not listen yet
+        if (std::chrono::steady_clock::now() > until) return nullptr;
+        std::this_thread::yield();
+      }
+    }
+  };
+  std::vector<std::unique_ptr<Client>> resting;
+  for (int i = 0; i < 2 * kDescriptors; ++i) {
+    resting.push_back(connect());
+    ASSERT_TRUE(resting.back());
+    // Every third never says a word.
+    if (i % 3 != 0) {
+      ASSERT_EQ(resting.back()->Ask(Look()).body(), "one") << i;
+    }
+  }
+  discovery.EndWatch();
+  ASSERT_TRUE(discovery.WaitForWatches(2)) << "the watch is opened anew";
+  discovery.Push(ListJson(42, true, Members(MemberJson("s-2", two.address()))));
+  ASSERT_TRUE(one.WaitForClosed(1)) << "the new list is in force";
+  for (int i = 0; i < 20; ++i) {
+    const auto newcomer = connect();
+    ASSERT_TRUE(newcomer);
+    EXPECT_EQ(newcomer->Ask(Look()).body(), "two") << i;
+  }
+}
+
+}  // namespace
+}  // namespace brackenspoke::testing
--- a/tests/stop_test.cpp
+++ b/tests/stop_test.cpp
@@ -71,5 +71,84 @@
   EXPECT_EQ(kept.Read().result_int(), 200u);
 }
 
+// ---- what has come how far when the stop comes --------------------------------------------------------
+TEST(Stop, ARequestThatIsHalfReadIsReadToItsEndAndServed) {
+  Backend backend;
+  const std::string request = Book();
+  for (const std::size_t half : {std::size_t{10}, request.size() - 2}) {  // of its head, and of its body
+    RunningProxy stopping(StopConfig(backend));
+    Client client(stopping.address);
+    client.Send(request.substr(0, half));
+    for (int turns = 0; turns < 5; ++turns) stopping.Ask([](proxy::Proxy&) { return 0; });
+    auto stopped = stopping.Stop();
+    client.Send(request.substr(half));
+    EXPECT_EQ(client.Read().result_int(), 200u) << half;
+    EXPECT_TRUE(client.Ended());
+    EXPECT_EQ(stopped.wait_for(kGiveUp), std::future_status::ready);
+  }
+}
+
+TEST(Stop, ARequestThatWaitsForAServerIsServedByOneThatComesLater) {
+  Backend backend;
+  FakeDiscovery discovery;
+  RunningProxy proxy(ConfigJson(discovery.address(), {}));
+  Client client(proxy.address);
+  client.Send(Look());
+  while (proxy.Ask([](proxy::Proxy& p) { return p.held(); }) == 0) std::this_thread::yield();
+  auto stopped = proxy.Stop();
+  discovery.Push(ListJson(42, true, Members(MemberJson("s-1", backend.address()))));
+  EXPECT_EQ(client.Read().result_int(), 200u);
+  EXPECT_EQ(stopped.wait_for(kGiveUp), std::future_status::ready);
+}
+
+TEST(Stop, AnAnswerThatIsHalfPassedOnComesWhole) {
+  const std::string half(100 * 1000, 'x');
+  Watched<bool> release;
+  Backend backend([&](Tcp::socket& s, const HttpRequest&) {
+    SendRaw(s, "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(2 * half.size()) + "\r\n\r\n" + half);
+    release.WaitFor([](bool r) { return r; });
+    SendRaw(s, half);
+    return true;
+  });
+  RunningProxy proxy(StopConfig(backend));
+  Client client(proxy.address);
+  client.Send(Look());
+  std::string begun(50 * 1000, '\0');
+  asio::read(client.socket, asio::buffer(begun));
+  auto stopped = proxy.Stop();
+  // The stop's first look is 600 ms after its beginning.
+  EXPECT_EQ(stopped.wait_for(milliseconds(800)), std::future_status::timeout);
+  release.Do([](bool& r) { r = true; });
+  std::string rest;
+  error_code ended;
+  asio::read(client.socket, asio::dynamic_buffer(rest), ended);
+  EXPECT_EQ(ended, asio::error::eof);
+  EXPECT_GT(begun.size() + rest.size(), 2 * half.size());
+  EXPECT_EQ(stopped.wait_for(kGiveUp), std::future_status::ready);
+}
+
+// It connects, and writes its request, while the loop stands still in the turn before its listener closes.
+TEST(Stop, AConnectionThatComesAsTheListenerClosesIsServed) {
+  constexpr milliseconds kGraceOver{700};  // the listener closes after 600 ms
+  Backend backend;
+  RunningProxy proxy(StopConfig(backend));
+  std::promise<void> stopping, stopped;
+  std::thread stop([&] {
+    proxy.Ask([&](proxy::Proxy& p) {
+      p.Stop([&] { stopped.set_value(); });
+      stopping.set_value();
+      std::this_thread::sleep_for(kGraceOver);
+      return 0;
+    });
+  });
+  stopping.get_future().wait();
+  Client late(proxy.address);
+  late.Send(Look());
+  stop.join();
+  EXPECT_EQ(late.Read().result_int(), 200u);
+  EXPECT_TRUE(late.Ended());
+  EXPECT_EQ(stopped.get_future().wait_for(kGiveUp), std::future_status::ready);
+}
+
 }  // namespace
 }  // namespace brackenspoke::testing
