Give up an attempt that is not written whole once its client has gone

Cause: Requests::OnClientGone ended the request and told the module, and nobody told Backends. An attempt whose connection was still being dialed, or whose body was still being written, went on: once the connection came up, the whole request was written for a client that had left. The path to other sites' gateways had the same hole.

Change: Backends::Send names the attempt, and Backends::GiveUp ends one of which the last byte has not been written, as kMoot: the module takes no failure of the server from it and sends no other. What was written whole goes on as before. An owner's budget is credited where such an attempt was the only one. A body that breaks off within Send is told from the event loop, as Send promises.

Ruled out by reading: a second Dispatch after ClientGone (Do(Dispatch) checks the responder); a turn between the connection and the write (there is none).

--- a/src/proxy/backend/connection.cpp
+++ b/src/proxy/backend/connection.cpp
@@ -34,8 +34,10 @@
 Backends::Connection::Connection(Backends& owner, ServerId server, std::uint64_t generation)
     : owner_(&owner), server_(server), generation_(generation), socket_(owner.io_), timer_(owner.io_) {}
 
-void Backends::Connection::Assign(Outgoing request, Duration timeout, AttemptEvents events) {
+void Backends::Connection::Assign(AttemptId attempt, Outgoing request, Duration timeout,
+                                  AttemptEvents events) {
   ++use_;
+  attempt_ = attempt;
   request_ = std::move(request);
   events_ = std::move(events);
   deadline_ = Steady::now() + ToSteady(timeout);
@@ -197,7 +199,7 @@
 }
 
 void Backends::Connection::WritePiece(Piece piece) {
-  if (piece.failed) return Finish(Outcome::kCancelled);
+  if (piece.failed) return FinishSoon(Outcome::kCancelled);  // this may be from within Send
   SetTimer(Steady::now() + kStall);
   if (piece.last) deadline_ = piece.due;
   writer_.WritePiece(socket_, std::move(piece.bytes), piece.last, OnWritten(piece.last));
--- a/src/proxy/backend/connection.h
+++ b/src/proxy/backend/connection.h
@@ -29,8 +29,11 @@
   // An attempt is out, of which the backend has seen nothing.
   bool Unbegun() const { return Out() && phase_ == Phase::kConnecting; }
 
+  // This attempt is out, and its last byte has not been written.
+  bool Unwritten(AttemptId attempt) const { return Out() && attempt_ == attempt && !sent_; }
+
   // Takes the attempt; then one of Open, Reuse and FinishSoon begins it.
-  void Assign(Outgoing request, Duration timeout, AttemptEvents events);
+  void Assign(AttemptId attempt, Outgoing request, Duration timeout, AttemptEvents events);
   void Open(const boost::asio::ip::tcp::endpoint& address, Duration connect_timeout);
   void Reuse();
   // An attempt that ends before it has begun; its result still comes from the event loop.
@@ -83,6 +86,7 @@
   Outgoing request_;
   RequestWriter writer_;
   AnswerReader reader_;
+  AttemptId attempt_ = 0;
   AttemptEvents events_;  // set while an attempt is out
   OnPiece on_piece_;
   Outcome outcome_ = Outcome::kUnknown;
--- a/src/proxy/backends.cpp
+++ b/src/proxy/backends.cpp
@@ -90,23 +90,36 @@
   for (const auto& connection : idle) connection->Close();
 }
 
-void Backends::Send(ServerId server, Outgoing request, Duration timeout, AttemptEvents events) {
+AttemptId Backends::Send(ServerId server, Outgoing request, Duration timeout, AttemptEvents events) {
+  const AttemptId attempt = ++last_attempt_;
   Backend& backend = backends_[server];
   std::shared_ptr<Connection> connection = TakeIdle(backend);
   if (connection) {
-    connection->Assign(std::move(request), timeout, std::move(events));
-    return connection->Reuse();
+    connection->Assign(attempt, std::move(request), timeout, std::move(events));
+    connection->Reuse();
+    return attempt;
   }
   connection = std::make_shared<Connection>(*this, server, backend.generation);
   live_.emplace(connection.get(), connection);
   ++open_;
-  connection->Assign(std::move(request), timeout, std::move(events));
-  // It never had an address.
-  if (backend.address.port() == 0) return connection->FinishSoon(Outcome::kConnectFailed);
-  // A limit of this proxy's own says nothing of the backend: the attempt was never made.
-  if (open_ > limits_.connections() && !CloseOldestIdle()) return connection->FinishSoon(Outcome::kMoot);
-  ++opened_;
-  connection->Open(backend.address, limits_.connect_timeout);
+  connection->Assign(attempt, std::move(request), timeout, std::move(events));
+  if (backend.address.port() == 0) {
+    connection->FinishSoon(Outcome::kConnectFailed);  // it never had an address
+  } else if (open_ > limits_.connections() && !CloseOldestIdle()) {
+    // A limit of this proxy's own says nothing of the backend: the attempt was never made.
+    connection->FinishSoon(Outcome::kMoot);
+  } else {
+    ++opened_;
+    connection->Open(backend.address, limits_.connect_timeout);
+  }
+  return attempt;
+}
+
+void Backends::GiveUp(AttemptId attempt) {
+  for (const auto& [key, weak] : live_) {
+    const auto connection = weak.lock();
+    if (connection && connection->Unwritten(attempt)) return connection->Finish(Outcome::kMoot);
+  }
 }
 
 std::shared_ptr<Backends::Connection> Backends::TakeIdle(Backend& backend) {
--- a/src/proxy/backends.h
+++ b/src/proxy/backends.h
@@ -44,6 +44,9 @@
   std::function<void(AttemptResult)> done;
 };
 
+// Names an attempt from its Send on; 0: none.
+using AttemptId = std::uint64_t;
+
 // A request on its way to a backend.
 struct Outgoing {
   boost::beast::http::request_header<> head;  // framing included
@@ -84,7 +87,10 @@
 
   // One attempt. `done` is called once, never from within this call, and not after the destructor. The
   // time-out counts from the request's last byte.
-  void Send(ServerId server, Outgoing request, Duration timeout, AttemptEvents events);
+  AttemptId Send(ServerId server, Outgoing request, Duration timeout, AttemptEvents events);
+  // The request is over: an attempt whose last byte has not been written ends as kMoot, and the backend never
+  // begins it. One that has been written goes on, as does what has ended already.
+  void GiveUp(AttemptId attempt);
 
   // From the next connections on.
   void SetTimes(Duration connect_timeout, Duration conn_idle);
@@ -115,6 +121,7 @@
   std::unordered_map<ServerId, Backend> backends_;
   std::unordered_map<const Connection*, std::weak_ptr<Connection>> live_;
   std::size_t open_ = 0, opened_ = 0;
+  AttemptId last_attempt_ = 0;
 };
 
 }  // namespace brackenspoke::proxy
--- a/src/proxy/core/pending.h
+++ b/src/proxy/core/pending.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "backends.h"
 #include "body.h"
 #include "brackenspoke/balancer.h"
 #include "clients.h"
@@ -34,6 +35,7 @@
   TimePoint came{};
   int attempts = 0;
   bool attempt_out = false;
+  AttemptId attempt = 0;         // the last that was sent
   bool may_have_run = false;     // an attempt that ended, or a neighbour that has it, may have run it
   Steady::time_point sent_at{};  // the attempt, or the request's last byte
   Duration first_bytes{0};       // until an answer that is passed on began
--- a/src/proxy/core/requests.cpp
+++ b/src/proxy/core/requests.cpp
@@ -59,10 +59,14 @@
 
 void Requests::OnClientGone(RequestId request) {
   if (!pending_.Conclude(request)) return;
-  federation_.CreditIfNotRun(*pending_.Find(request));
+  const Pending& pending = *pending_.Find(request);
+  federation_.CreditIfNotRun(pending);
+  const AttemptId attempt = pending.attempt_out ? pending.attempt : 0;
   pending_.ForgetIfOver(request);
   federation_.Gone(request);
   module_.Feed(ClientGone{request});
+  // Nothing may begin for somebody who has left: it may still wait for its connection, or for a slow one.
+  if (attempt != 0) backends_.GiveUp(attempt);
 }
 
 void Requests::Do(const Dispatch& action) {
@@ -98,7 +102,7 @@
   };
   if (pending->key != 0 && fleet_.node())
     fleet_.node()->Tell(fleet::KeySite{pending->key, servers_.numbers().IdOf(action.server)});
-  backends_.Send(action.server, std::move(out), timeout, std::move(events));
+  pending->attempt = backends_.Send(action.server, std::move(out), timeout, std::move(events));
 }
 
 void Requests::Do(const Refuse& action) {
@@ -142,6 +146,7 @@
       responder->Served(std::move(result.response), std::move(result.hold));
   }
   end.settled = !pending || !pending->responder;
+  if (pending && end.settled) federation_.CreditIfNotRun(*pending);  // its client left before it could run
   pending_.ForgetIfOver(request);
   module_.Feed(end);
 }
--- a/src/proxy/federation/spill_service.cpp
+++ b/src/proxy/federation/spill_service.cpp
@@ -100,7 +100,12 @@
 }
 
 void SpillService::Gone(RequestId request) {
-  if (open_.erase(request) > 0) Feed(spill::ClientGone{request});
+  const auto open = open_.find(request);
+  if (open == open_.end()) return;
+  const AttemptId attempt = open->second.attempt;
+  open_.erase(open);
+  Feed(spill::ClientGone{request});
+  neighbours_.GiveUp(attempt);
 }
 
 void SpillService::Feed(const spill::Event& event) {
@@ -129,7 +134,8 @@
   events.done = [this, request = action.request, neighbour = action.neighbour, sent](AttemptResult result) {
     OnDone(request, neighbour, sent, std::move(result));
   };
-  neighbours_.Send(numbers_.at(action.neighbour), std::move(out), timeout, std::move(events));
+  open->second.attempt =
+      neighbours_.Send(numbers_.at(action.neighbour), std::move(out), timeout, std::move(events));
 }
 
 void SpillService::OnDone(RequestId request, const spill::Neighbour& neighbour, Steady::time_point sent,
--- a/src/proxy/federation/spill_service.h
+++ b/src/proxy/federation/spill_service.h
@@ -66,6 +66,7 @@
  private:
   struct Open {
     std::shared_ptr<const HttpRequest> message;
+    AttemptId attempt = 0;  // the last that was sent
   };
   void Feed(const spill::Event& event);
   void Do(const spill::SendTo& action);
--- a/tests/backends_test.cpp
+++ b/tests/backends_test.cpp
@@ -9,70 +9,11 @@
 #include <optional>
 #include <thread>
 
-#include "loopback.h"
+#include "backend/bench.h"
 
 namespace brackenspoke::testing {
 namespace {
 
-using proxy::AttemptResult;
-using proxy::Backends;
-
-constexpr ServerId kServer = 7;
-
-proxy::Outgoing Out(HttpRequest request) {
-  proxy::Outgoing out;
-  out.head = request.base();
-  out.whole = std::make_shared<const std::string>(std::move(request.body()));
-  return out;
-}
-
-proxy::AttemptEvents Into(std::optional<AttemptResult>* result) {
-  return {[](proxy::AnswerHead) { FAIL() << "no answer here is passed on"; },
-          [result](AttemptResult ended) { *result = std::move(ended); }};
-}
-
-struct Bench {
-  explicit Bench(Backends::Limits limits = {}) : backends(io, std::move(limits), buffers) {
-    backends.Set(kServer, acceptor.local_endpoint(), 0);
-  }
-
-  void Send(Duration timeout, std::size_t body = 0) {
-    HttpRequest request{http::verb::post, "/book", 11};
-    request.body().assign(body, 'x');
-    request.prepare_payload();
-    result.reset();
-    backends.Send(kServer, Out(std::move(request)), timeout, Into(&result));
-  }
-  // The connection that the attempt opens; its request is read unless it is to wait.
-  Tcp::socket Accept() {
-    Tcp::socket socket(peers);
-    acceptor.accept(socket);
-    return socket;
-  }
-  void ReadRequest(Tcp::socket& socket) {
-    boost::beast::flat_buffer buffer;
-    http::request_parser<http::string_body> parser;
-    while (!parser.is_done()) {
-      RunOnce();
-      if (socket.available() > 0) http::read_some(socket, buffer, parser);
-    }
-  }
-  void RunOnce() {
-    io.restart();
-    io.poll();
-  }
-  void RunUntilResult() {
-    const auto until = std::chrono::steady_clock::now() + kGiveUp;
-    while (!result && std::chrono::steady_clock::now() < until) RunOnce();
-  }
-
-  asio::io_context io, peers;
-  Tcp::acceptor acceptor{peers, kAnyPort};
-  proxy::Buffers buffers{1 << 20, 16384, [] { return std::size_t{0}; }};
-  Backends backends;
-  std::optional<AttemptResult> result;
-};
-
 // The event loop gets to the time-out and to the rest of the answer in one round: the time-out first.
 TEST(Backends, AnAnswerThatArrivesAsItsAttemptTimesOutHasNowhereToGo) {
   Bench bench;
