Know at every moment whether a request's last byte was written

Cause: the event loop hears of a write one turn after the system took it. An attempt that ended in between (its client left, its time was over) was told as one that never ran, though the server had the whole request.

--- a/src/proxy/backend/connection.cpp
+++ b/src/proxy/backend/connection.cpp
@@ -43,7 +43,7 @@
   events_ = std::move(events);
   deadline_ = Steady::now() + ToSteady(timeout);
   phase_ = Phase::kConnecting;
-  begun_ = ended_ = reading_ = sent_ = false;
+  begun_ = ended_ = reading_ = false;
 }
 
 void Backends::Connection::Open(const Tcp::endpoint& address, Duration connect_timeout) {
@@ -51,6 +51,7 @@
   socket_.open(address.protocol(), error);
   if (const auto& local = owner_->limits_.local; local && !error) socket_.bind(*local, error);
   if (!error) socket_.set_option(Tcp::no_delay(true), error);
+  if (!error) socket_.non_blocking(true, error);
   if (error) return FinishSoon(Outcome::kMoot);  // out of descriptors
   SetTimer(std::min(deadline_, Steady::now() + ToSteady(connect_timeout)));
   socket_.async_connect(address, [self = shared_from_this()](const Error& failed) {
@@ -78,7 +79,7 @@
   const OnPiece on_piece = std::exchange(on_piece_, nullptr);
   Buffers::Hold hold = reader_.TakeHold();
   const bool reusable =
-      outcome != Outcome::kCancelled && phase_ == Phase::kReading && sent_ && reader_.Reusable();
+      outcome != Outcome::kCancelled && phase_ == Phase::kReading && Written() && reader_.Reusable();
   const auto body = std::exchange(request_.body, nullptr);
   // Closed before anybody hears of the end: the next attempt must not find this one on an open connection.
   // What a write or read under way still uses ends with it.
@@ -98,8 +99,6 @@
 bool Backends::Connection::Alive() {
   Error error;
   char byte;
-  socket_.non_blocking(true, error);
-  if (error) return false;
   socket_.receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, error);
   return error == asio::error::would_block || error == asio::error::try_again;
 }
@@ -152,9 +151,9 @@
          reader_.Unmeasured() && Steady::now() < deadline_;
 }
 
-// Nothing has run unless the last byte was written.
+// Nothing has run unless the last byte was written, whether or not the event loop has heard of that yet.
 void Backends::Connection::FinishUnanswered(Outcome outcome) {
-  Finish(phase_ == Phase::kReading && sent_ ? outcome : Outcome::kConnectFailed);
+  Finish(Written() ? outcome : Outcome::kConnectFailed);
 }
 
 // ---- writing ------------------------------------------------------------------------------------------
@@ -164,7 +163,6 @@
     if (failed) return self->FinishUnanswered(Outcome::kReset);
     if (!last) return self->WriteNext();
     self->writer_.DropPiece();
-    self->sent_ = true;
     self->SetTimer(self->deadline_);
     self->Read();
   };
@@ -176,7 +174,6 @@
   if (left.count() <= 0) return FinishSoon(Outcome::kMoot);
   request_.head.set(kTimeLeft, std::to_string(left.count()));
   phase_ = Phase::kSending;
-  sent_ = false;
   writer_.Begin(std::move(request_.head));
   if (request_.body) {
     WatchForEarlyAnswer();
--- a/src/proxy/backend/connection.h
+++ b/src/proxy/backend/connection.h
@@ -30,7 +30,7 @@
   bool Unbegun() const { return Out() && phase_ == Phase::kConnecting; }
 
   // This attempt is out, and its last byte has not been written.
-  bool Unwritten(AttemptId attempt) const { return Out() && attempt_ == attempt && !sent_; }
+  bool Unwritten(AttemptId attempt) const { return Out() && attempt_ == attempt && !Written(); }
 
   // Takes the attempt; then one of Open, Reuse and FinishSoon begins it.
   void Assign(AttemptId attempt, Outgoing request, Duration timeout, AttemptEvents events);
@@ -59,6 +59,8 @@
   enum class Phase { kConnecting, kSending, kReading };
 
   bool Out() const { return static_cast<bool>(events_.done); }
+  // The backend may begin the request: the system has its last byte.
+  bool Written() const { return phase_ != Phase::kConnecting && writer_.Written(); }
   bool HeldBack() const;
   void ClearTimer();
   void SetTimer(Steady::time_point at);
@@ -93,7 +95,7 @@
   Steady::time_point deadline_{}, idle_since_{};
   std::uint64_t use_ = 0, timer_set_ = 0;
   Phase phase_ = Phase::kConnecting;
-  bool sent_ = false, reading_ = false, begun_ = false, ended_ = false, closed_ = false;
+  bool reading_ = false, begun_ = false, ended_ = false, closed_ = false;
 };
 
 }  // namespace brackenspoke::proxy
