Go on with a body that is passed on after an interim answer

Cause, by reading: the first bytes from a server ended the writing of a body, also where they were an interim answer. The server waited for the rest, and the attempt for the server, for 10 s; where they crossed the last piece, the client's time-out was lost.

Change: the body goes on until the head of the final answer is in.

--- a/src/proxy/backend/connection.cpp
+++ b/src/proxy/backend/connection.cpp
@@ -43,7 +43,7 @@
   events_ = std::move(events);
   deadline_ = Steady::now() + ToSteady(timeout);
   phase_ = Phase::kConnecting;
-  begun_ = ended_ = reading_ = false;
+  awaiting_head_ = reading_ = begun_ = ended_ = false;
 }
 
 void Backends::Connection::Open(const Tcp::endpoint& address, Duration connect_timeout) {
@@ -160,14 +160,22 @@
 auto Backends::Connection::OnWritten(bool last) {
   return [self = shared_from_this(), use = use_, last](const Error& failed) {
     if (use != self->use_ || self->phase_ != Phase::kSending || !self->Out()) return;
-    if (failed) return self->FinishUnanswered(Outcome::kReset);
+    if (failed) return self->OnUnwritable();
     if (!last) return self->WriteNext();
     self->writer_.DropPiece();
+    self->phase_ = Phase::kReading;
     self->SetTimer(self->deadline_);
-    self->Read();
+    if (!self->awaiting_head_) self->Read();
   };
 }
 
+// An answer that is already on its way may say why.
+void Backends::Connection::OnUnwritable() {
+  if (!awaiting_head_) return FinishUnanswered(Outcome::kReset);
+  phase_ = Phase::kReading;
+  SetTimer(Steady::now() + kStall);
+}
+
 void Backends::Connection::Write() {
   // A connection may have come up late: what was left as the attempt was made is no longer so.
   const auto left = std::chrono::floor<std::chrono::milliseconds>(deadline_ - Steady::now());
@@ -183,11 +191,12 @@
   writer_.Write(socket_, *request_.whole, true, OnWritten(true));
 }
 
-// A backend may answer before it has read all; the rest is then of no use to it.
+// A backend may answer before it has read all; the rest is then of no use to it. Until the head of that
+// answer is in, the request goes on: there may be interim ones before it, for which a backend that waits for
+// the rest does not stop.
 void Backends::Connection::WatchForEarlyAnswer() {
   socket_.async_wait(Tcp::socket::wait_read, [self = shared_from_this(), use = use_](const Error& failed) {
     if (failed || use != self->use_ || self->phase_ != Phase::kSending || !self->Out()) return;
-    self->SetTimer(Steady::now() + kStall);
     self->Read();
   });
 }
@@ -210,7 +219,7 @@
 
 // ---- reading ------------------------------------------------------------------------------------------
 void Backends::Connection::Read() {
-  phase_ = Phase::kReading;
+  awaiting_head_ = true;
   reader_.Begin();
   reader_.ReadHead(socket_, [self = shared_from_this(), use = use_](const Error& failed) {
     if (use != self->use_ || !self->Out()) return;
@@ -221,6 +230,9 @@
 
 void Backends::Connection::OnHead() {
   if (reader_.Interim()) return Read();
+  awaiting_head_ = false;
+  if (std::exchange(phase_, Phase::kReading) == Phase::kSending)
+    SetTimer(Written() ? deadline_ : Steady::now() + kStall);
   const Limits& limits = owner_->limits_;
   outcome_ = OutcomeOf(reader_.head(), limits.proxies);
   if (limits.on_head) limits.on_head(reader_.head());
--- a/src/proxy/backend/connection.h
+++ b/src/proxy/backend/connection.h
@@ -71,6 +71,7 @@
   void WriteNext();
   void WritePiece(Piece piece);
   auto OnWritten(bool last);
+  void OnUnwritable();
 
   void Read();
   void OnHead();
@@ -95,7 +96,7 @@
   Steady::time_point deadline_{}, idle_since_{};
   std::uint64_t use_ = 0, timer_set_ = 0;
   Phase phase_ = Phase::kConnecting;
-  bool reading_ = false, begun_ = false, ended_ = false, closed_ = false;
+  bool awaiting_head_ = false, reading_ = false, begun_ = false, ended_ = false, closed_ = false;
 };
 
 }  // namespace brackenspoke::proxy
