--- a/src/proxy/backend/answer_reader.h
+++ b/src/proxy/backend/answer_reader.h
@@ -65,7 +65,10 @@
   // The whole message is in.
   bool Done() const { return parser_->is_done(); }
   // The connection can carry another one.
-  bool Reusable() const { return Done() && parser_->keep_alive() && buffer_.size() == 0; }
+  bool Reusable() const {
+    return Done() && parser_->keep_alive() && buffer_.size() == 0 &&
+           head().result() != boost::beast::http::status::switching_protocols;
+  }
 
   // The last piece is added to what nobody has had yet.
   void Keep(std::size_t n) { whole_.append(in_, 0, n); }
