Let connections rest between requests once an answer has come twice

Cause, by reading: an answer carries nothing that says which request it is of, so that a second copy that arrives after the next request was written on its connection is taken for that one's answer.

Change: from the first copy seen until 60 s after the last, a connection rests for 50 ms between two requests.

--- a/src/proxy/backend/answer_reader.h
+++ b/src/proxy/backend/answer_reader.h
@@ -64,6 +64,8 @@
   void Count(std::size_t n) { got_ += n; }
   // The whole message is in.
   bool Done() const { return parser_->is_done(); }
+  // It is whole, and more has come after it.
+  bool Exceeded() const { return Done() && buffer_.size() > 0; }
   // The connection can carry another one.
   bool Reusable() const {
     return Done() && parser_->keep_alive() && buffer_.size() == 0 &&
--- a/src/proxy/backend/connection.cpp
+++ b/src/proxy/backend/connection.cpp
@@ -80,6 +80,7 @@
   Buffers::Hold hold = reader_.TakeHold();
   const bool reusable =
       outcome != Outcome::kCancelled && phase_ == Phase::kReading && Written() && reader_.Reusable();
+  if (owner_ && phase_ == Phase::kReading && reader_.Exceeded()) owner_->OnUnasked(server_);
   const auto body = std::exchange(request_.body, nullptr);
   // Closed before anybody hears of the end: the next attempt must not find this one on an open connection.
   // What a write or read under way still uses ends with it.
@@ -100,6 +101,7 @@
   Error error;
   char byte;
   socket_.receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, error);
+  if (!error && owner_) owner_->OnUnasked(server_);
   return error == asio::error::would_block || error == asio::error::try_again;
 }
 
@@ -107,7 +109,9 @@
   idle_since_ = Steady::now();
   SetTimer(idle_since_ + ToSteady(at_most));
   socket_.async_wait(Tcp::socket::wait_read, [self = shared_from_this(), use = use_](const Error&) {
-    if (use == self->use_) self->Close();  // its end, or an answer that nobody asked for
+    if (use != self->use_) return;
+    self->Alive();  // tells the owner if it is an answer that nobody asked for
+    self->Close();
   });
 }
 
--- a/src/proxy/backend/connection.h
+++ b/src/proxy/backend/connection.h
@@ -41,7 +41,8 @@
   // Ends the attempt, if one is out.
   void Finish(Outcome outcome, HttpResponse response = {});
 
-  // Whether the backend has not closed it in the meantime: writing would end as a reset that may have run.
+  // Whether the backend has neither closed it in the meantime, where writing would end as a reset that may
+  // have run, nor sent anything.
   bool Alive();
   // Closes by itself after so long, or when the backend says anything.
   void WatchIdle(Duration at_most);
--- a/src/proxy/backends.cpp
+++ b/src/proxy/backends.cpp
@@ -1,9 +1,14 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "backends.h"
 
+#include <algorithm>
+#include <chrono>
+#include <iterator>
+#include <string>
 #include <utility>
 
 #include "backend/connection.h"
+#include "base/log.h"
 
 namespace brackenspoke::proxy {
 namespace {
@@ -13,6 +18,12 @@
 
 constexpr double kIdleShare = 0.8;  // of the time after which backends close: ours must come first
 
+// Nothing in an answer says which request it is of. One that comes a second time, some ms late, would be
+// taken for that of the next request on its connection. So once more has come than was asked for, connections
+// rest between two requests for a while, and a late answer finds them idle.
+constexpr std::chrono::milliseconds kRest{50};
+constexpr std::chrono::seconds kWary{60};
+
 }  // namespace
 
 Backends::Backends(asio::io_context& io, Limits limits, Buffers& buffers)
@@ -123,13 +134,26 @@
 }
 
 std::shared_ptr<Backends::Connection> Backends::TakeIdle(Backend& backend) {
-  while (!backend.idle.empty()) {
-    const auto connection = std::move(backend.idle.back());
-    backend.idle.pop_back();
+  for (;;) {
+    const auto now = Steady::now();
+    const auto rested = now < wary_until_ ? now - kRest : now;
+    auto& idle = backend.idle;
+    const auto newest = std::find_if(idle.rbegin(), idle.rend(),
+                                     [&](const auto& each) { return each->idle_since() <= rested; });
+    if (newest == idle.rend()) return nullptr;
+    const auto connection = *newest;
+    idle.erase(std::next(newest).base());
     if (connection->Alive()) return connection;
     connection->Close();
   }
-  return nullptr;
+}
+
+void Backends::OnUnasked(ServerId server) {
+  const auto now = Steady::now();
+  if (now >= wary_until_)
+    log::Info("backends", "server " + std::to_string(server) +
+                              " sent more than was asked for: connections rest between two requests");
+  wary_until_ = now + kWary;
 }
 
 bool Backends::CloseOldestIdle() {
--- a/src/proxy/backends.h
+++ b/src/proxy/backends.h
@@ -20,6 +20,7 @@
 
 #include "body.h"
 #include "brackenspoke/balancer.h"
+#include "clock.h"
 #include "request.h"
 
 namespace brackenspoke::proxy {
@@ -86,8 +87,9 @@
   void Shrink(std::size_t connections);
 
   // One attempt. `done` is called once, never from within this call, and not after the destructor. The
-  // time-out counts from this call; of a body that is passed on, from when its last piece says. The backend is
-  // told what is left of it as the request is written, in whole ms; where that is none, nothing is written.
+  // time-out counts from this call; of a body that is passed on, from when its last piece says. The backend
+  // is told what is left of it as the request is written, in whole ms; where that is none, nothing is
+  // written.
   AttemptId Send(ServerId server, Outgoing request, Duration timeout, AttemptEvents events);
   // The request is over: an attempt whose last byte has not been written ends as kMoot, and the backend never
   // begins it. One that has been written goes on, as does what has ended already.
@@ -111,6 +113,8 @@
   };
 
   std::shared_ptr<Connection> TakeIdle(Backend& backend);
+  // More has come on a connection than its requests asked for.
+  void OnUnasked(ServerId server);
   bool CloseOldestIdle();
   void Renew(Backend& backend);
   void Keep(const std::shared_ptr<Connection>& connection);
@@ -123,6 +127,7 @@
   std::unordered_map<const Connection*, std::weak_ptr<Connection>> live_;
   std::size_t open_ = 0, opened_ = 0;
   AttemptId last_attempt_ = 0;
+  Steady::time_point wary_until_{};
 };
 
 }  // namespace brackenspoke::proxy
