--- a/src/proxy/backend/answer_reader.h
+++ b/src/proxy/backend/answer_reader.h
@@ -64,8 +64,13 @@
   void Count(std::size_t n) { got_ += n; }
   // The whole message is in.
   bool Done() const { return parser_->is_done(); }
+  // It is whole, and more has come after it.
+  bool Exceeded() const { return Done() && buffer_.size() > 0; }
   // The connection can carry another one.
-  bool Reusable() const { return Done() && parser_->keep_alive() && buffer_.size() == 0; }
+  bool Reusable() const {
+    return Done() && parser_->keep_alive() && buffer_.size() == 0 &&
+           head().result() != boost::beast::http::status::switching_protocols;
+  }
 
   // The last piece is added to what nobody has had yet.
   void Keep(std::size_t n) { whole_.append(in_, 0, n); }
--- a/src/proxy/backend/connection.cpp
+++ b/src/proxy/backend/connection.cpp
@@ -17,6 +17,7 @@
 using Tcp = asio::ip::tcp;
 
 constexpr std::chrono::seconds kStall{10};  // for a piece of a body to be taken, or to come
+constexpr const char* kTimeLeft = "Req-Deadline-Ms";
 
 Steady::duration ToSteady(Duration d) { return std::chrono::ceil<Steady::duration>(d); }
 
@@ -34,13 +35,15 @@
 Backends::Connection::Connection(Backends& owner, ServerId server, std::uint64_t generation)
     : owner_(&owner), server_(server), generation_(generation), socket_(owner.io_), timer_(owner.io_) {}
 
-void Backends::Connection::Assign(Outgoing request, Duration timeout, AttemptEvents events) {
+void Backends::Connection::Assign(AttemptId attempt, Outgoing request, Duration timeout,
+                                  AttemptEvents events) {
   ++use_;
+  attempt_ = attempt;
   request_ = std::move(request);
   events_ = std::move(events);
   deadline_ = Steady::now() + ToSteady(timeout);
   phase_ = Phase::kConnecting;
-  begun_ = ended_ = reading_ = sent_ = false;
+  awaiting_head_ = reading_ = begun_ = ended_ = false;
 }
 
 void Backends::Connection::Open(const Tcp::endpoint& address, Duration connect_timeout) {
@@ -48,6 +51,7 @@
   socket_.open(address.protocol(), error);
   if (const auto& local = owner_->limits_.local; local && !error) socket_.bind(*local, error);
   if (!error) socket_.set_option(Tcp::no_delay(true), error);
+  if (!error) socket_.non_blocking(true, error);
   if (error) return FinishSoon(Outcome::kMoot);  // out of descriptors
   SetTimer(std::min(deadline_, Steady::now() + ToSteady(connect_timeout)));
   socket_.async_connect(address, [self = shared_from_this()](const Error& failed) {
@@ -60,6 +64,7 @@
 void Backends::Connection::Reuse() {
   Error ignored;
   socket_.cancel(ignored);  // the watch for its end
+  ClearTimer();
   Write();
 }
 
@@ -74,7 +79,8 @@
   const OnPiece on_piece = std::exchange(on_piece_, nullptr);
   Buffers::Hold hold = reader_.TakeHold();
   const bool reusable =
-      outcome != Outcome::kCancelled && phase_ == Phase::kReading && sent_ && reader_.Reusable();
+      outcome != Outcome::kCancelled && phase_ == Phase::kReading && Written() && reader_.Reusable();
+  if (owner_ && phase_ == Phase::kReading && reader_.Exceeded()) owner_->OnUnasked(server_);
   const auto body = std::exchange(request_.body, nullptr);
   // Closed before anybody hears of the end: the next attempt must not find this one on an open connection.
   // What a write or read under way still uses ends with it.
@@ -94,9 +100,8 @@
 bool Backends::Connection::Alive() {
   Error error;
   char byte;
-  socket_.non_blocking(true, error);
-  if (error) return false;
   socket_.receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, error);
+  if (!error && owner_) owner_->OnUnasked(server_);
   return error == asio::error::would_block || error == asio::error::try_again;
 }
 
@@ -104,7 +109,9 @@
   idle_since_ = Steady::now();
   SetTimer(idle_since_ + ToSteady(at_most));
   socket_.async_wait(Tcp::socket::wait_read, [self = shared_from_this(), use = use_](const Error&) {
-    if (use == self->use_) self->Close();  // its end, or an answer that nobody asked for
+    if (use != self->use_) return;
+    self->Alive();  // tells the owner if it is an answer that nobody asked for
+    self->Close();
   });
 }
 
@@ -148,27 +155,37 @@
          reader_.Unmeasured() && Steady::now() < deadline_;
 }
 
-// Nothing has run unless the last byte was written.
+// Nothing has run unless the last byte was written, whether or not the event loop has heard of that yet.
 void Backends::Connection::FinishUnanswered(Outcome outcome) {
-  Finish(phase_ == Phase::kReading && sent_ ? outcome : Outcome::kConnectFailed);
+  Finish(Written() ? outcome : Outcome::kConnectFailed);
 }
 
 // ---- writing ------------------------------------------------------------------------------------------
 auto Backends::Connection::OnWritten(bool last) {
   return [self = shared_from_this(), use = use_, last](const Error& failed) {
     if (use != self->use_ || self->phase_ != Phase::kSending || !self->Out()) return;
-    if (failed) return self->FinishUnanswered(Outcome::kReset);
+    if (failed) return self->OnUnwritable();
     if (!last) return self->WriteNext();
     self->writer_.DropPiece();
-    self->sent_ = true;
+    self->phase_ = Phase::kReading;
     self->SetTimer(self->deadline_);
-    self->Read();
+    if (!self->awaiting_head_) self->Read();
   };
 }
 
+// An answer that is already on its way may say why.
+void Backends::Connection::OnUnwritable() {
+  if (!awaiting_head_) return FinishUnanswered(Outcome::kReset);
+  phase_ = Phase::kReading;
+  SetTimer(Steady::now() + kStall);
+}
+
 void Backends::Connection::Write() {
+  // A connection may have come up late: what was left as the attempt was made is no longer so.
+  const auto left = std::chrono::floor<std::chrono::milliseconds>(deadline_ - Steady::now());
+  if (left.count() <= 0) return FinishSoon(Outcome::kMoot);
+  request_.head.set(kTimeLeft, std::to_string(left.count()));
   phase_ = Phase::kSending;
-  sent_ = false;
   writer_.Begin(std::move(request_.head));
   if (request_.body) {
     WatchForEarlyAnswer();
@@ -178,11 +195,12 @@
   writer_.Write(socket_, *request_.whole, true, OnWritten(true));
 }
 
-// A backend may answer before it has read all; the rest is then of no use to it.
+// A backend may answer before it has read all; the rest is then of no use to it. Until the head of that
+// answer is in, the request goes on: there may be interim ones before it, for which a backend that waits for
+// the rest does not stop.
 void Backends::Connection::WatchForEarlyAnswer() {
   socket_.async_wait(Tcp::socket::wait_read, [self = shared_from_this(), use = use_](const Error& failed) {
     if (failed || use != self->use_ || self->phase_ != Phase::kSending || !self->Out()) return;
-    self->SetTimer(Steady::now() + kStall);
     self->Read();
   });
 }
@@ -197,7 +215,7 @@
 }
 
 void Backends::Connection::WritePiece(Piece piece) {
-  if (piece.failed) return Finish(Outcome::kCancelled);
+  if (piece.failed) return FinishSoon(Outcome::kCancelled);  // this may be from within Send
   SetTimer(Steady::now() + kStall);
   if (piece.last) deadline_ = piece.due;
   writer_.WritePiece(socket_, std::move(piece.bytes), piece.last, OnWritten(piece.last));
@@ -205,7 +223,7 @@
 
 // ---- reading ------------------------------------------------------------------------------------------
 void Backends::Connection::Read() {
-  phase_ = Phase::kReading;
+  awaiting_head_ = true;
   reader_.Begin();
   reader_.ReadHead(socket_, [self = shared_from_this(), use = use_](const Error& failed) {
     if (use != self->use_ || !self->Out()) return;
@@ -216,6 +234,9 @@
 
 void Backends::Connection::OnHead() {
   if (reader_.Interim()) return Read();
+  awaiting_head_ = false;
+  if (std::exchange(phase_, Phase::kReading) == Phase::kSending)
+    SetTimer(Written() ? deadline_ : Steady::now() + kStall);
   const Limits& limits = owner_->limits_;
   outcome_ = OutcomeOf(reader_.head(), limits.proxies);
   if (limits.on_head) limits.on_head(reader_.head());
--- a/src/proxy/backend/connection.h
+++ b/src/proxy/backend/connection.h
@@ -29,8 +29,11 @@
   // An attempt is out, of which the backend has seen nothing.
   bool Unbegun() const { return Out() && phase_ == Phase::kConnecting; }
 
+  // This attempt is out, and its last byte has not been written.
+  bool Unwritten(AttemptId attempt) const { return Out() && attempt_ == attempt && !Written(); }
+
   // Takes the attempt; then one of Open, Reuse and FinishSoon begins it.
-  void Assign(Outgoing request, Duration timeout, AttemptEvents events);
+  void Assign(AttemptId attempt, Outgoing request, Duration timeout, AttemptEvents events);
   void Open(const boost::asio::ip::tcp::endpoint& address, Duration connect_timeout);
   void Reuse();
   // An attempt that ends before it has begun; its result still comes from the event loop.
@@ -38,7 +41,8 @@
   // Ends the attempt, if one is out.
   void Finish(Outcome outcome, HttpResponse response = {});
 
-  // Whether the backend has not closed it in the meantime: writing would end as a reset that may have run.
+  // Whether the backend has neither closed it in the meantime, where writing would end as a reset that may
+  // have run, nor sent anything.
   bool Alive();
   // Closes by itself after so long, or when the backend says anything.
   void WatchIdle(Duration at_most);
@@ -56,6 +60,8 @@
   enum class Phase { kConnecting, kSending, kReading };
 
   bool Out() const { return static_cast<bool>(events_.done); }
+  // The backend may begin the request: the system has its last byte.
+  bool Written() const { return phase_ != Phase::kConnecting && writer_.Written(); }
   bool HeldBack() const;
   void ClearTimer();
   void SetTimer(Steady::time_point at);
@@ -66,6 +72,7 @@
   void WriteNext();
   void WritePiece(Piece piece);
   auto OnWritten(bool last);
+  void OnUnwritable();
 
   void Read();
   void OnHead();
@@ -83,13 +90,14 @@
   Outgoing request_;
   RequestWriter writer_;
   AnswerReader reader_;
+  AttemptId attempt_ = 0;
   AttemptEvents events_;  // set while an attempt is out
   OnPiece on_piece_;
   Outcome outcome_ = Outcome::kUnknown;
   Steady::time_point deadline_{}, idle_since_{};
   std::uint64_t use_ = 0, timer_set_ = 0;
   Phase phase_ = Phase::kConnecting;
-  bool sent_ = false, reading_ = false, begun_ = false, ended_ = false, closed_ = false;
+  bool awaiting_head_ = false, reading_ = false, begun_ = false, ended_ = false, closed_ = false;
 };
 
 }  // namespace brackenspoke::proxy
--- a/src/proxy/backends.cpp
+++ b/src/proxy/backends.cpp
@@ -1,9 +1,14 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "backends.h"
 
+#include <algorithm>
+#include <chrono>
+#include <iterator>
+#include <string>
 #include <utility>
 
 #include "backend/connection.h"
+#include "base/log.h"
 
 namespace brackenspoke::proxy {
 namespace {
@@ -13,6 +18,12 @@
 
 constexpr double kIdleShare = 0.8;  // of the time after which backends close: ours must come first
 
+// Nothing in an answer says which request it is of. One that comes a second time, some ms late, would be
+// taken for that of the next request on its connection. So once more has come than was asked for, connections
+// rest between two requests for a while, and a late answer finds them idle.
+constexpr std::chrono::milliseconds kRest{50};
+constexpr std::chrono::seconds kWary{60};
+
 }  // namespace
 
 Backends::Backends(asio::io_context& io, Limits limits, Buffers& buffers)
@@ -90,33 +101,59 @@
   for (const auto& connection : idle) connection->Close();
 }
 
-void Backends::Send(ServerId server, Outgoing request, Duration timeout, AttemptEvents events) {
+AttemptId Backends::Send(ServerId server, Outgoing request, Duration timeout, AttemptEvents events) {
+  const AttemptId attempt = ++last_attempt_;
   Backend& backend = backends_[server];
   std::shared_ptr<Connection> connection = TakeIdle(backend);
   if (connection) {
-    connection->Assign(std::move(request), timeout, std::move(events));
-    return connection->Reuse();
+    connection->Assign(attempt, std::move(request), timeout, std::move(events));
+    connection->Reuse();
+    return attempt;
   }
   connection = std::make_shared<Connection>(*this, server, backend.generation);
   live_.emplace(connection.get(), connection);
   ++open_;
-  connection->Assign(std::move(request), timeout, std::move(events));
-  // It never had an address.
-  if (backend.address.port() == 0) return connection->FinishSoon(Outcome::kConnectFailed);
-  // A limit of this proxy's own says nothing of the backend: the attempt was never made.
-  if (open_ > limits_.connections() && !CloseOldestIdle()) return connection->FinishSoon(Outcome::kMoot);
-  ++opened_;
-  connection->Open(backend.address, limits_.connect_timeout);
+  connection->Assign(attempt, std::move(request), timeout, std::move(events));
+  if (backend.address.port() == 0) {
+    connection->FinishSoon(Outcome::kConnectFailed);  // it never had an address
+  } else if (open_ > limits_.connections() && !CloseOldestIdle()) {
+    // A limit of this proxy's own says nothing of the backend: the attempt was never made.
+    connection->FinishSoon(Outcome::kMoot);
+  } else {
+    ++opened_;
+    connection->Open(backend.address, limits_.connect_timeout);
+  }
+  return attempt;
+}
+
+void Backends::GiveUp(AttemptId attempt) {
+  for (const auto& [key, weak] : live_) {
+    const auto connection = weak.lock();
+    if (connection && connection->Unwritten(attempt)) return connection->Finish(Outcome::kMoot);
+  }
 }
 
 std::shared_ptr<Backends::Connection> Backends::TakeIdle(Backend& backend) {
-  while (!backend.idle.empty()) {
-    const auto connection = std::move(backend.idle.back());
-    backend.idle.pop_back();
+  for (;;) {
+    const auto now = Steady::now();
+    const auto rested = now < wary_until_ ? now - kRest : now;
+    auto& idle = backend.idle;
+    const auto newest = std::find_if(idle.rbegin(), idle.rend(),
+                                     [&](const auto& each) { return each->idle_since() <= rested; });
+    if (newest == idle.rend()) return nullptr;
+    const auto connection = *newest;
+    idle.erase(std::next(newest).base());
     if (connection->Alive()) return connection;
     connection->Close();
   }
-  return nullptr;
+}
+
+void Backends::OnUnasked(ServerId server) {
+  const auto now = Steady::now();
+  if (now >= wary_until_)
+    log::Info("backends", "server " + std::to_string(server) +
+                              " sent more than was asked for: connections rest between two requests");
+  wary_until_ = now + kWary;
 }
 
 bool Backends::CloseOldestIdle() {
--- a/src/proxy/federation/spill_service.cpp
+++ b/src/proxy/federation/spill_service.cpp
@@ -100,7 +100,12 @@
 }
 
 void SpillService::Gone(RequestId request) {
-  if (open_.erase(request) > 0) Feed(spill::ClientGone{request});
+  const auto open = open_.find(request);
+  if (open == open_.end()) return;
+  const AttemptId attempt = open->second.attempt;
+  open_.erase(open);
+  Feed(spill::ClientGone{request});
+  neighbours_.GiveUp(attempt);
 }
 
 void SpillService::Feed(const spill::Event& event) {
@@ -115,7 +120,6 @@
   const auto timeout = std::chrono::duration_cast<Duration>(action.timeout);
   Outgoing out;
   out.head = open->second.message->base();
-  out.head.set("Req-Deadline-Ms", std::to_string(static_cast<long long>(std::ceil(timeout.count()))));
   out.head.set(std::string(spill::kMarkHeader), spill::MarkOf({sites_.site, self_}));
   out.whole = {open->second.message, &open->second.message->body()};
   AttemptEvents events;
@@ -129,7 +133,8 @@
   events.done = [this, request = action.request, neighbour = action.neighbour, sent](AttemptResult result) {
     OnDone(request, neighbour, sent, std::move(result));
   };
-  neighbours_.Send(numbers_.at(action.neighbour), std::move(out), timeout, std::move(events));
+  open->second.attempt =
+      neighbours_.Send(numbers_.at(action.neighbour), std::move(out), timeout, std::move(events));
 }
 
 void SpillService::OnDone(RequestId request, const spill::Neighbour& neighbour, Steady::time_point sent,
