Ask for the list again in time, whatever becomes of a call or a watch

Symptom, by arithmetic on the code: with 13 s of asking time a watch that fell silent was asked for anew after up to 3.5 + 0.65 s and a call that was given up after refusals after 3.5 + 3.25 s; with a slow answer of 2 s that is 6.15 and 8.75 s of the 6 s that a change has. With 4 s a call was broken off after 2 s, the very time an answer may take.

Cause: ListCalls took both its figures from the asking time. Now the next call begins at most 3.5 s after one that failed or is not answered, and at most 0.25 s after a watch was given up; the backoff after refusals and its jitter stay.

--- a/src/policy/server_list.h
+++ b/src/policy/server_list.h
@@ -18,7 +18,9 @@
 constexpr double kGoldenRatio = 0.6180339887498949;
 constexpr Duration kForgetAfter{600000};  // a server gone for this long loses its state
 
-// When to ask discovery for the changes of its list, where it must be asked.
+// When to ask discovery, where it must be asked: a change is in force 6 s later, and an answer may take 2 s.
+constexpr Duration kNextCall{3500};   // at most, after a call that fails or is not answered began
+constexpr Duration kAfterWatch{250};  // at most, after one that fell silent was given up
 struct ListCalls {
   Context& x;
   TimePoint at = kNever;
@@ -26,23 +28,22 @@
 
   void Follow(ListKind kind) {
     if (!x.settings.must_ask_for_list) return;
-    const Duration within = x.settings.must_ask_within;
-    if (kind == ListKind::kCached) {
-      at = x.now;  // a new life: nothing is subscribed yet
-    } else if (kind == ListKind::kFailed) {
-      // Jittered backoff, from a twentieth to a quarter of the time within which the rules want a call.
-      backoff = std::min(within / 4, std::max(within / 20, backoff * 2));
-      at = x.now + backoff * (0.5 + 0.5 * x.random.Unit());
-    } else {
-      backoff = Duration(0);
-      at = kNever;
-    }
+    if (kind == ListKind::kFailed) return BackOff();
+    backoff = Duration(0);
+    at = kind == ListKind::kCached ? x.now : kNever;  // a new life: nothing is subscribed yet
+  }
+
+  // With jitter, from a twentieth to a quarter of the time within which the rules want a call.
+  void BackOff() {
+    const Duration within = x.settings.must_ask_within, left = at == kNever ? kAfterWatch : at - x.now;
+    backoff = std::clamp(backoff * 2, within / 20, within / 4);
+    at = x.now + std::min(backoff, left) * (0.5 + 0.5 * x.random.Unit());
   }
 
   void AskIfDue() {
     if (x.now < at) return;
     x.Do(Subscribe{});
-    at = x.now + x.settings.must_ask_within / 2;  // an answer may never come
+    at = x.now + std::min(kNextCall, x.settings.must_ask_within * 0.9);
   }
 };
 
