Give up a list on the watch that comes byte by byte and never ends

Cause: each byte of a watch put off the end of its time (Stream::ReadSome), so that a list or a change that trickles in, or never ends, was waited for without limit, and nothing else of the list could be told meanwhile.

Now only a whole object or a heartbeat between objects does, and the time is looked at after each read, too. A header was bounded before.

--- a/src/proxy/discovery.cpp
+++ b/src/proxy/discovery.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <chrono>
 #include <utility>
 
 #include "base/log.h"
@@ -23,6 +24,7 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 using Error = boost::system::error_code;
+using Steady = std::chrono::steady_clock;
 
 constexpr std::size_t kMostList = 8 * 1024 * 1024;
 constexpr std::chrono::milliseconds kLeastBackoff{50}, kMostBackoff{1000};
@@ -38,7 +40,7 @@
     Extend();
     stream_.async_connect(owner_->options_.address, [self = shared_from_this()](const Error& failed) {
       if (!self->owner_) return;
-      if (failed) return self->End(failed.message());
+      if (failed) return self->End(failed);
       self->Ask();
     });
   }
@@ -49,13 +51,17 @@
   }
 
  private:
-  void Extend() { stream_.expires_after(owner_->options_.silence); }
+  void Extend() {
+    deadline_ = Steady::now() + owner_->options_.silence;
+    stream_.expires_at(deadline_);
+  }
 
+  void End(const Error& failed) { End(failed.message()); }
   void End(const std::string& why) {
-    if (Discovery* owner = std::exchange(owner_, nullptr)) {
-      stream_.close();
-      owner->OnEnd(why);
-    }
+    Discovery* const owner = std::exchange(owner_, nullptr);
+    if (!owner) return;
+    stream_.close();
+    owner->OnEnd(why);
   }
 
   void Ask() {
@@ -66,34 +72,38 @@
     if (owner_->options_.token != 0) request_.set("Fencing-Token", std::to_string(owner_->options_.token));
     http::async_write(stream_, request_, [self = shared_from_this()](const Error& failed, std::size_t) {
       if (!self->owner_) return;
-      if (failed) return self->End(failed.message());
+      if (failed) return self->End(failed);
       self->ReadHeader();
     });
   }
 
   void ReadHeader() {
     parser_.body_limit(boost::none);
-    http::async_read_header(
-        stream_, buffer_, parser_, [self = shared_from_this()](const Error& failed, std::size_t) {
-          if (!self->owner_) return;
-          if (failed) return self->End(failed.message());
-          if (self->parser_.get().result() != http::status::ok)
-            return self->End("answer " + std::to_string(self->parser_.get().result_int()));
-          self->ReadSome();
-        });
+    http::async_read_header(stream_, buffer_, parser_,
+                            [self = shared_from_this()](const Error& failed, std::size_t) {
+                              if (!self->owner_) return;
+                              if (failed) return self->End(failed);
+                              self->OnHeader(self->parser_.get().result_int());
+                            });
+  }
+
+  void OnHeader(unsigned status) {
+    if (status != 200) return End("answer " + std::to_string(status));
+    Extend();
+    ReadSome();
   }
 
   void ReadSome() {
     if (parser_.is_done()) return End("the watch ended");
     parser_.get().body().data = piece_.data();
     parser_.get().body().size = piece_.size();
-    Extend();  // its heartbeat is data too
     http::async_read_some(stream_, buffer_, parser_, [self = shared_from_this()](Error failed, std::size_t) {
       if (!self->owner_) return;
       if (failed == http::error::need_buffer) failed = {};
       const std::size_t got = self->piece_.size() - self->parser_.get().body().size;
       if (!self->Take({self->piece_.data(), got})) return;
-      if (failed) return self->End(failed.message());
+      if (!failed && Steady::now() >= self->deadline_) failed = beast::error::timeout;
+      if (failed) return self->End(failed);
       self->ReadSome();
     });
   }
@@ -101,6 +111,7 @@
   // False when the watch is over.
   bool Take(std::string_view piece) {
     lists_.Add(piece);
+    const std::size_t before = lists_.whole();
     std::string text;
     ObjectReader::Result result;
     while ((result = lists_.Next(&text)) == ObjectReader::Result::kObject) {
@@ -110,9 +121,13 @@
       result = ObjectReader::Result::kGarbled;
       break;
     }
-    if (result == ObjectReader::Result::kNeedMore) return true;
-    End("a garbled list");
-    return false;
+    if (result == ObjectReader::Result::kGarbled) {
+      End("a garbled list");
+      return false;
+    }
+    // A part of an object shows nothing: the rest may come byte by byte, or never.
+    if (lists_.whole() != before) Extend();
+    return true;
   }
 
   Discovery* owner_;
@@ -122,6 +137,7 @@
   http::response_parser<http::buffer_body> parser_;
   std::array<char, 16384> piece_;
   ObjectReader lists_{kMostList};
+  Steady::time_point deadline_;
 };
 
 Discovery::Discovery(asio::io_context& io, Options options, OnList on_list, OnFailure on_failure)
@@ -179,11 +195,16 @@
   stream_.reset();
   if (options_.reconnect == Reconnect::kWhenAsked) return on_failure_();
   backoff_ = std::clamp(backoff_ * 2, kLeastBackoff, kMostBackoff);
-  jitter_ = jitter_ * 6364136223846793005u + 1442695040888963407u;  // proxies must not come back in step
-  again_.expires_after(backoff_ / 2 + backoff_ * (jitter_ >> 33) / 2 / (1ull << 31));
+  again_.expires_after(Jittered(backoff_));
   again_.async_wait([this](const Error& cancelled) {
     if (!cancelled) Watch();
   });
 }
 
+// Between a half and the whole of it: proxies must not come back in step.
+std::chrono::milliseconds Discovery::Jittered(std::chrono::milliseconds pause) {
+  jitter_ = jitter_ * 6364136223846793005u + 1442695040888963407u;
+  return pause / 2 + pause * (jitter_ >> 33) / 2 / (1ull << 31);
+}
+
 }  // namespace brackenspoke::proxy
--- a/src/proxy/discovery.h
+++ b/src/proxy/discovery.h
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -26,9 +27,9 @@
     boost::asio::ip::tcp::endpoint address;
     std::uint64_t revision = 0;  // of the list that is known already
     Reconnect reconnect = Reconnect::kByItself;
-    // After so long a watch, or a call, is broken: a heartbeat is owed every 2 s, an answer within 2 s. What
-    // it misses counts as told 6 s after it fell silent; until then comes a pause of up to 0.5 s and, where
-    // the new call is answered slowly, again 2 s.
+    // How long a call may go on without a header, and then a watch without a whole object or a heartbeat: a
+    // heartbeat is owed every 2 s, an answer within 2 s. What it misses counts as told 6 s after it fell
+    // silent; until then comes a pause of up to 0.5 s and, where the new call is answered slowly, again 2 s.
     std::chrono::milliseconds silence{3500};
     std::uint64_t seed = 0;
     std::uint64_t token = 0;  // of the lease under which discovery is watched
@@ -57,6 +58,7 @@
 
   bool OnText(std::string_view text);
   void OnEnd(const std::string& why);
+  std::chrono::milliseconds Jittered(std::chrono::milliseconds pause);
 
   boost::asio::io_context& io_;
   Options options_;
--- a/src/proxy/object_reader.cpp
+++ b/src/proxy/object_reader.cpp
@@ -14,6 +14,7 @@
     ++scanned_;
     if (!within || depth_ > 0) continue;
     object->assign(text_, begin_, scanned_ - begin_);
+    ++whole_;
     return Result::kObject;
   }
   text_.erase(0, depth_ > 0 ? begin_ : scanned_);
@@ -35,7 +36,10 @@
 }
 
 bool ObjectReader::TakeBetweenTokens(char c) {
-  if (c == '\n') return !(std::exchange(line_empty_, true) && depth_ > 0);
+  if (c == '\n') {
+    if (depth_ == 0) ++whole_;
+    return !(std::exchange(line_empty_, true) && depth_ > 0);
+  }
   if (c == ' ' || c == '\t' || c == '\r') return true;
   line_empty_ = false;
   if (depth_ == 0 && c != '{') return false;
--- a/src/proxy/object_reader.h
+++ b/src/proxy/object_reader.h
@@ -24,6 +24,8 @@
   // The next object that has come whole, into `object`. Only its outermost braces are certain to match. After
   // kGarbled the stream has no use any more.
   Result Next(std::string* object);
+  // How many objects, and line ends between objects, Next has found so far.
+  std::size_t whole() const { return whole_; }
 
  private:
   bool TakeInString(char c);
@@ -33,7 +35,8 @@
   std::string text_;
   std::size_t begin_ = 0;    // of the open object
   std::size_t scanned_ = 0;  // up to here
-  int depth_ = 0;            // of braces and brackets
+  std::size_t whole_ = 0;
+  int depth_ = 0;  // of braces and brackets
   bool in_string_ = false, escaped_ = false;
   bool line_empty_ = true;
 };
--- a/tests/discovery/watch_test.cpp
+++ b/tests/discovery/watch_test.cpp
@@ -3,88 +3,13 @@
 // A discovery that keeps its connections open and says nothing, or says it late, or on several lines.
 #include <gtest/gtest.h>
 
-#include "loopback.h"
+#include "scripted_discovery.h"
 
 namespace brackenspoke::testing {
 namespace {
 
 using std::chrono::milliseconds;
 
-// Serves the nth call, from 0, as the test says; each connection then stays open and silent.
-class ScriptedDiscovery {
- public:
-  using Serve = std::function<void(std::size_t call, Tcp::socket&)>;
-  explicit ScriptedDiscovery(Serve serve)
-      : serve_(std::move(serve)), listener_([this](Tcp::socket& socket) { Call(socket); }) {}
-
-  Tcp::endpoint address() const { return listener_.address; }
-  std::vector<std::string> targets() { return targets_.Get(); }
-  bool WaitForCalls(std::size_t n) {
-    return targets_.WaitFor([n](const auto& targets) { return targets.size() >= n; });
-  }
-
- private:
-  void Call(Tcp::socket& socket) {
-    boost::beast::flat_buffer buffer;
-    HttpRequest request;
-    error_code failed;
-    http::read(socket, buffer, request, failed);
-    if (failed) return;
-    std::size_t call = 0;
-    targets_.Do([&](auto& targets) {
-      call = targets.size();
-      targets.emplace_back(request.target());
-    });
-    serve_(call, socket);
-    char byte;
-    asio::read(socket, asio::buffer(&byte, 1), failed);  // until the caller gives it up
-  }
-
-  Serve serve_;
-  Watched<std::vector<std::string>> targets_;
-  Listener listener_;
-};
-
-void BeginWatch(Tcp::socket& socket) {
-  SendRaw(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-}
-void Say(Tcp::socket& socket, const std::string& text) {
-  char size[24];
-  std::snprintf(size, sizeof size, "%zx\r\n", text.size());
-  SendRaw(socket, size + text + "\r\n");
-}
-std::string List(int revision) { return ListJson(revision, true, {}).dump() + "\n"; }
-
-// Discovery followed by this program's code alone, on a thread of its own.
-class Follower {
- public:
-  Follower(const Tcp::endpoint& address, milliseconds silence) : io_(1) {
-    proxy::Discovery::Options options;
-    options.address = address;
-    options.revision = 41;
-    options.silence = silence;
-    discovery_ = std::make_unique<proxy::Discovery>(
-        io_, options,
-        [this](const proxy::MemberList& list) { revision_.Do([&](std::uint64_t& r) { r = list.revision; }); },
-        [] {});
-    discovery_->Watch();
-    thread_ = std::thread([this] { io_.run(); });
-  }
-  ~Follower() {
-    io_.stop();
-    thread_.join();
-  }
-  bool WaitForRevision(std::uint64_t revision) {
-    return revision_.WaitFor([revision](std::uint64_t r) { return r == revision; });
-  }
-
- private:
-  asio::io_context io_;
-  Watched<std::uint64_t> revision_;
-  std::unique_ptr<proxy::Discovery> discovery_;
-  std::thread thread_;
-};
-
 constexpr milliseconds kShort{100}, kLong{60000};
 
 TEST(DiscoveryWatch, ASilentOneIsOpenedAnewThoughTheNewCallIsAnsweredSlowly) {
