Pass over interim answers to the call for the list

Cause: any status but 200 ended the call, a 100 or 103 before the 200 as well (Stream::ReadHeader), and the next call met the same.

They are passed over within the time of the call; 101 still ends it. DiscoveryFraming.EachFormOfAWatchIsFollowed fails without it in the form with interim answers, and only there; chunk extensions, trailers, lengths, answers up to the close, HTTP/1.0 and names in other case were followed before, and what came whole before a reset was applied.

--- a/src/proxy/discovery.cpp
+++ b/src/proxy/discovery.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <chrono>
+#include <optional>
 #include <utility>
 
 #include "base/log.h"
@@ -78,29 +79,30 @@
   }
 
   void ReadHeader() {
-    parser_.body_limit(boost::none);
-    http::async_read_header(stream_, buffer_, parser_,
+    parser_.emplace().body_limit(boost::none);
+    http::async_read_header(stream_, buffer_, *parser_,
                             [self = shared_from_this()](const Error& failed, std::size_t) {
                               if (!self->owner_) return;
                               if (failed) return self->End(failed);
-                              self->OnHeader(self->parser_.get().result_int());
+                              self->OnHeader(self->parser_->get().result_int());
                             });
   }
 
   void OnHeader(unsigned status) {
+    if (status / 100 == 1 && status != 101) return ReadHeader();  // interim; 101 begins another protocol
     if (status != 200) return End("answer " + std::to_string(status));
     Extend();
     ReadSome();
   }
 
   void ReadSome() {
-    if (parser_.is_done()) return End("the watch ended");
-    parser_.get().body().data = piece_.data();
-    parser_.get().body().size = piece_.size();
-    http::async_read_some(stream_, buffer_, parser_, [self = shared_from_this()](Error failed, std::size_t) {
+    if (parser_->is_done()) return End("the watch ended");
+    parser_->get().body().data = piece_.data();
+    parser_->get().body().size = piece_.size();
+    http::async_read_some(stream_, buffer_, *parser_, [self = shared_from_this()](Error failed, std::size_t) {
       if (!self->owner_) return;
       if (failed == http::error::need_buffer) failed = {};
-      const std::size_t got = self->piece_.size() - self->parser_.get().body().size;
+      const std::size_t got = self->piece_.size() - self->parser_->get().body().size;
       if (!self->Take({self->piece_.data(), got})) return;
       if (!failed && Steady::now() >= self->deadline_) failed = beast::error::timeout;
       if (failed) return self->End(failed);
@@ -134,7 +136,7 @@
   beast::tcp_stream stream_;
   beast::flat_buffer buffer_;
   http::request<http::empty_body> request_;
-  http::response_parser<http::buffer_body> parser_;
+  std::optional<http::response_parser<http::buffer_body>> parser_;  // a new one after each interim answer
   std::array<char, 16384> piece_;
   ObjectReader lists_{kMostList};
   Steady::time_point deadline_;
