Call discovery again sooner after a call that was given up

Cause: a call that is never answered was given up after 3.5 s, and the pause after it grew as after a refusal, to 1 s (Discovery::OnEnd). With a slow answer of 2 s that is 6.5 s of the 6 s that a change has.

A watch or a call is given up after 3.25 s, and the pause is at most 0.25 s then: 5.5 s at worst. After refusals the backoff and its jitter are as before. DiscoveryTold.AfterACallThatIsNeverAnsweredAndManyThatWereRefused fails without it.

--- a/src/proxy/discovery.cpp
+++ b/src/proxy/discovery.cpp
@@ -29,6 +29,8 @@
 
 constexpr std::size_t kMostList = 8 * 1024 * 1024;
 constexpr std::chrono::milliseconds kLeastBackoff{50}, kMostBackoff{1000};
+// After a call that was given up, which has lasted long already.
+constexpr std::chrono::milliseconds kMostShortPause{250};
 
 }  // namespace
 
@@ -57,12 +59,12 @@
     stream_.expires_at(deadline_);
   }
 
-  void End(const Error& failed) { End(failed.message()); }
-  void End(const std::string& why) {
+  void End(const Error& failed) { End(failed.message(), failed == beast::error::timeout); }
+  void End(const std::string& why, bool given_up = false) {
     Discovery* const owner = std::exchange(owner_, nullptr);
     if (!owner) return;
     stream_.close();
-    owner->OnEnd(why);
+    owner->OnEnd(why, given_up ? kMostShortPause : kMostBackoff);
   }
 
   void Ask() {
@@ -192,12 +194,12 @@
   return true;
 }
 
-void Discovery::OnEnd(const std::string& why) {
+void Discovery::OnEnd(const std::string& why, std::chrono::milliseconds most_pause) {
   if (!std::exchange(told_, true)) log::Warn("discovery", Failure(kDiscoveryAway, "away: " + why));
   stream_.reset();
   if (options_.reconnect == Reconnect::kWhenAsked) return on_failure_();
   backoff_ = std::clamp(backoff_ * 2, kLeastBackoff, kMostBackoff);
-  again_.expires_after(Jittered(backoff_));
+  again_.expires_after(Jittered(std::min(backoff_, most_pause)));
   again_.async_wait([this](const Error& cancelled) {
     if (!cancelled) Watch();
   });
--- a/src/proxy/discovery.h
+++ b/src/proxy/discovery.h
@@ -28,9 +28,10 @@
     std::uint64_t revision = 0;  // of the list that is known already
     Reconnect reconnect = Reconnect::kByItself;
     // How long a call may go on without a header, and then a watch without a whole object or a heartbeat: a
-    // heartbeat is owed every 2 s, an answer within 2 s. What it misses counts as told 6 s after it fell
-    // silent; until then comes a pause of up to 0.5 s and, where the new call is answered slowly, again 2 s.
-    std::chrono::milliseconds silence{3500};
+    // heartbeat is owed every 2 s, an answer within 2 s. What a silent watch or a call that is given up
+    // misses counts as told 6 s later; of these a pause takes up to 0.25 s, and a new call that is answered
+    // slowly 2 s.
+    std::chrono::milliseconds silence{3250};
     std::uint64_t seed = 0;
     std::uint64_t token = 0;  // of the lease under which discovery is watched
   };
@@ -57,7 +58,7 @@
   friend class Stream;
 
   bool OnText(std::string_view text);
-  void OnEnd(const std::string& why);
+  void OnEnd(const std::string& why, std::chrono::milliseconds most_pause);
   std::chrono::milliseconds Jittered(std::chrono::milliseconds pause);
 
   boost::asio::io_context& io_;
--- a/tests/discovery/told_in_time_test.cpp
+++ b/tests/discovery/told_in_time_test.cpp
@@ -65,6 +65,17 @@
       since);
 }
 
+TEST(DiscoveryTold, AfterACallThatIsNeverAnsweredAndManyThatWereRefused) {
+  Since since;
+  ExpectInForceInTime(
+      [&](std::size_t call, Tcp::socket& socket) {
+        if (call < kFailures) return Refuse(socket);
+        if (call == kFailures) return since.Mark();
+        AnswerSlowly(socket);
+      },
+      since);
+}
+
 TEST(DiscoveryTold, AfterACallThatWaitsInVainAndManyThatWereRefused) {
   Since since;
   ExpectInForceInTime(
