Look again whether a call is wanted when the pause before it is over

Cause: once the time of a timer is up, cancelling it has no effect on the handler that waits in the loop's queue. A Pause, a move or the end of Discovery in the same turn was followed by a call all the same: a process without the duty watched, two calls went out for one move, or freed memory was used.

The handler now looks for each. Without it DiscoveryRaces.APauseInTheTurnOfTheNextCallPreventsIt and .AMoveInTheTurnOfTheNextCallMakesOneCall fail, and .AnEndInTheTurnOfTheNextCallPreventsIt ends in a segmentation fault.

--- a/src/proxy/discovery.cpp
+++ b/src/proxy/discovery.cpp
@@ -200,8 +200,11 @@
   if (options_.reconnect == Reconnect::kWhenAsked) return on_failure_();
   backoff_ = std::clamp(backoff_ * 2, kLeastBackoff, kMostBackoff);
   again_.expires_after(Jittered(std::min(backoff_, most_pause)));
-  again_.async_wait([this](const Error& cancelled) {
-    if (!cancelled) Watch();
+  // Once the time is up, nothing cancels this any more: in the same turn a watch may have been opened, or
+  // paused, or all of this ended.
+  again_.async_wait([this, alive = std::weak_ptr<const bool>(alive_)](const Error& cancelled) {
+    if (cancelled || alive.expired() || paused_ || stream_) return;
+    Watch();
   });
 }
 
--- a/src/proxy/discovery.h
+++ b/src/proxy/discovery.h
@@ -67,6 +67,7 @@
   OnFailure on_failure_;
   boost::asio::steady_timer again_;
   std::shared_ptr<Stream> stream_;
+  const std::shared_ptr<const bool> alive_ = std::make_shared<const bool>(true);
   std::chrono::milliseconds backoff_{0};
   std::uint64_t jitter_;
   bool paused_ = false;
