Ask again for a list that came when the duty to watch had gone

Cause: the revision of a list was noted before its owner could turn it down (Discovery::OnText, DiscoveryDuty::OnNews), so that the next watch of the same process asked for what came after a list that it had never taken.

DiscoveryRaces.AListThatPausesTheWatchIsAskedForAgain fails without it.

--- a/src/proxy/discovery.cpp
+++ b/src/proxy/discovery.cpp
@@ -189,8 +189,9 @@
   if (std::exchange(told_, false)) log::Info("discovery", "back");
   // A change older than the list that it would change must not undo it.
   if (!list->complete && list->revision < options_.revision) return true;
-  options_.revision = list->revision;
+  const std::uint64_t known = std::exchange(options_.revision, list->revision);
   on_list_(*list);
+  if (paused_) options_.revision = known;  // it was not taken
   return true;
 }
 
--- a/src/proxy/discovery.h
+++ b/src/proxy/discovery.h
@@ -19,6 +19,7 @@
 
 class Discovery {
  public:
+  // A list that makes the owner call Pause counts as not taken.
   using OnList = std::function<void(const MemberList&)>;
   using OnFailure = std::function<void()>;
   enum class Reconnect { kByItself, kWhenAsked };
--- a/tests/discovery/races_test.cpp
+++ b/tests/discovery/races_test.cpp
@@ -168,6 +168,19 @@
   EXPECT_EQ(before.targets().size(), 1u) << "the watch goes on";
 }
 
+// What a paused one has not taken is asked for again.
+TEST(DiscoveryRaces, AListThatPausesTheWatchIsAskedForAgain) {
+  ScriptedDiscovery scripted(
+      [](std::size_t call, Tcp::socket& socket) { Answer(socket, call == 0 ? 50 : 51); });
+  ByHand side(scripted.address());
+  side.on_list = [&] { side.discovery->Pause(); };
+  ASSERT_TRUE(side.RunUntilRevision(50));
+  side.on_list = [] {};
+  side.discovery->Watch();
+  ASSERT_TRUE(side.RunUntilRevision(51));
+  EXPECT_EQ(scripted.targets().back(), "/v1/endpoints?stream=1&index=41");
+}
+
 TEST(DiscoveryRaces, OfTwoMovesInOneTurnTheLastCounts) {
   ScriptedDiscovery before([](std::size_t, Tcp::socket& socket) { Answer(socket, 42); });
   ScriptedDiscovery passed([](std::size_t, Tcp::socket& socket) { Answer(socket, 90); });
