Let calls become rarer where discovery ends each watch after its list

Cause: any list ended the backoff (Discovery::OnText). A discovery that answers with the whole list and closes was asked about 30 times a second by each proxy, too much for one that has many callers.

The backoff ends once a watch has stood for 1 s; after a watch that told a list it goes up to 0.25 s only, as the next change may be due. DiscoveryLoad.AfterWatchesThatEndAtOnceCallsBecomeRarer fails without it.

--- a/src/proxy/discovery.cpp
+++ b/src/proxy/discovery.cpp
@@ -29,8 +29,9 @@
 
 constexpr std::size_t kMostList = 8 * 1024 * 1024;
 constexpr std::chrono::milliseconds kLeastBackoff{50}, kMostBackoff{1000};
-// After a call that was given up, which has lasted long already.
+// After a call that was given up, which has lasted long already, and after a watch that told something.
 constexpr std::chrono::milliseconds kMostShortPause{250};
+constexpr std::chrono::milliseconds kSteadyFor{1000};  // a watch so long open ends the backoff
 
 }  // namespace
 
@@ -64,7 +65,8 @@
     Discovery* const owner = std::exchange(owner_, nullptr);
     if (!owner) return;
     stream_.close();
-    owner->OnEnd(why, given_up ? kMostShortPause : kMostBackoff);
+    if (opened_at_ && Steady::now() - *opened_at_ >= kSteadyFor) owner->backoff_ = {};
+    owner->OnEnd(why, given_up || listed_ ? kMostShortPause : kMostBackoff);
   }
 
   void Ask() {
@@ -93,6 +95,7 @@
   void OnHeader(unsigned status) {
     if (status / 100 == 1 && status != 101) return ReadHeader();  // interim; 101 begins another protocol
     if (status != 200) return End("answer " + std::to_string(status));
+    opened_at_ = Steady::now();
     Extend();
     ReadSome();
   }
@@ -121,9 +124,11 @@
     while ((result = lists_.Next(&text)) == ObjectReader::Result::kObject) {
       const bool good = owner_->OnText(text);
       if (!owner_) return false;
-      if (good) continue;
-      result = ObjectReader::Result::kGarbled;
-      break;
+      if (!good) {
+        result = ObjectReader::Result::kGarbled;
+        break;
+      }
+      listed_ = true;
     }
     if (result == ObjectReader::Result::kGarbled) {
       End("a garbled list");
@@ -142,6 +147,8 @@
   std::array<char, 16384> piece_;
   ObjectReader lists_{kMostList};
   Steady::time_point deadline_;
+  std::optional<Steady::time_point> opened_at_;  // once it was answered with 200
+  bool listed_ = false;                          // a list has come on it
 };
 
 Discovery::Discovery(asio::io_context& io, Options options, OnList on_list, OnFailure on_failure)
@@ -185,7 +192,6 @@
     log::Warn("discovery", Failure(kGarbledLine, "garbled list: " + why));
     return false;
   }
-  backoff_ = std::chrono::milliseconds(0);
   if (std::exchange(told_, false)) log::Info("discovery", "back");
   // A change older than the list that it would change must not undo it.
   if (!list->complete && list->revision < options_.revision) return true;
--- a/tests/discovery/races_test.cpp
+++ b/tests/discovery/races_test.cpp
@@ -237,5 +237,54 @@
   EXPECT_EQ(before.accepted(), 1);
 }
 
+// ---- load on discovery --------------------------------------------------------------------------------
+std::vector<std::chrono::steady_clock::time_point> TimesOfCalls(
+    std::size_t calls, const std::function<void(std::size_t, Tcp::socket&)>& serve) {
+  std::vector<std::chrono::steady_clock::time_point> at(calls);
+  ScriptedDiscovery scripted([&](std::size_t call, Tcp::socket& socket) {
+    if (call < calls) at[call] = std::chrono::steady_clock::now();
+    serve(call, socket);
+  });
+  Follower follower(scripted.address(), std::chrono::minutes(1));
+  EXPECT_TRUE(scripted.WaitForCalls(calls + 1));
+  return at;
+}
+
+// Discovery turns calls away when it has too many callers: pauses double, up to between 0.5 s and 1 s.
+TEST(DiscoveryLoad, AfterRefusalsCallsBecomeRare) {
+  const auto at = TimesOfCalls(7, RefuseAlways);
+  milliseconds least{25};
+  for (std::size_t i = 1; i < at.size(); ++i, least = std::min(2 * least, milliseconds(500)))
+    EXPECT_GE(at[i] - at[i - 1], least) << i;
+}
+
+// One that ends each watch after its list would be asked 30 times a second by each proxy.
+TEST(DiscoveryLoad, AfterWatchesThatEndAtOnceCallsBecomeRarer) {
+  const auto at = TimesOfCalls(8, [](std::size_t call, Tcp::socket& socket) {
+    Answer(socket, 42 + static_cast<int>(call));
+    ::shutdown(socket.native_handle(), SHUT_WR);
+  });
+  milliseconds least{25};
+  for (std::size_t i = 1; i < at.size(); ++i, least = std::min(2 * least, milliseconds(125)))
+    EXPECT_GE(at[i] - at[i - 1], least) << i;
+}
+
+// A watch that stood for a while was no failure: the next one is opened at once.
+TEST(DiscoveryLoad, AfterAWatchThatStoodTheNextCallComesSoon) {
+  std::chrono::steady_clock::time_point ended, again;
+  ScriptedDiscovery scripted([&](std::size_t call, Tcp::socket& socket) {
+    if (call < 5) return Refuse(socket);
+    if (call > 5) again = std::chrono::steady_clock::now();
+    Answer(socket, 42 + static_cast<int>(call));
+    if (call > 5) return;
+    std::this_thread::sleep_for(milliseconds(1200));
+    ended = std::chrono::steady_clock::now();
+    ::shutdown(socket.native_handle(), SHUT_WR);
+  });
+  Follower follower(scripted.address(), std::chrono::minutes(1));
+  ASSERT_TRUE(follower.WaitForRevision(48));
+  EXPECT_LT(again - ended, milliseconds(125));
+}
+
 }  // namespace
 }  // namespace brackenspoke::testing
