Refuse a list with a negative revision, and test what whole lists leave out

Cause: the revision was read as an unsigned number whatever its sign (ParseMembers); -1 became the largest one, and each later change was passed over as older, until a whole list came.

ListRevisions.ANegativeOneIsNoList fails without it. The tests of whole lists (after a gap, after a move, with a lower revision, with two entries for a server, empty) found nothing else.

--- a/src/proxy/members.cpp
+++ b/src/proxy/members.cpp
@@ -47,6 +47,7 @@
   MemberList list;
   why->clear();
   try {
+    if (json.at("revision").get<double>() < 0) *why = "the revision is negative";
     list.revision = json.at("revision").get<std::uint64_t>();
     list.complete = json.value("complete", false);
     for (const auto& entry : json.at("members")) {
@@ -57,6 +58,7 @@
     *why = error.what();
     return std::nullopt;
   }
+  if (!why->empty()) return std::nullopt;
   return list;
 }
 
