--- a/src/proxy/discovery.h
+++ b/src/proxy/discovery.h
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -18,6 +19,7 @@
 
 class Discovery {
  public:
+  // A list that makes the owner call Pause counts as not taken.
   using OnList = std::function<void(const MemberList&)>;
   using OnFailure = std::function<void()>;
   enum class Reconnect { kByItself, kWhenAsked };
@@ -26,10 +28,11 @@
     boost::asio::ip::tcp::endpoint address;
     std::uint64_t revision = 0;  // of the list that is known already
     Reconnect reconnect = Reconnect::kByItself;
-    // After so long a watch, or a call, is broken: a heartbeat is owed every 2 s, an answer within 2 s. What
-    // it misses counts as told 6 s after it fell silent; until then comes a pause of up to 0.5 s and, where
-    // the new call is answered slowly, again 2 s.
-    std::chrono::milliseconds silence{3500};
+    // How long a call may go on without a header, and then a watch without a whole object or a heartbeat: a
+    // heartbeat is owed every 2 s, an answer within 2 s. What a silent watch or a call that is given up
+    // misses counts as told 6 s later; of these a pause takes up to 0.25 s, and a new call that is answered
+    // slowly 2 s.
+    std::chrono::milliseconds silence{3250};
     std::uint64_t seed = 0;
     std::uint64_t token = 0;  // of the lease under which discovery is watched
   };
@@ -56,7 +59,8 @@
   friend class Stream;
 
   bool OnText(std::string_view text);
-  void OnEnd(const std::string& why);
+  void OnEnd(const std::string& why, std::chrono::milliseconds most_pause);
+  std::chrono::milliseconds Jittered(std::chrono::milliseconds pause);
 
   boost::asio::io_context& io_;
   Options options_;
@@ -64,6 +68,7 @@
   OnFailure on_failure_;
   boost::asio::steady_timer again_;
   std::shared_ptr<Stream> stream_;
+  const std::shared_ptr<const bool> alive_ = std::make_shared<const bool>(true);
   std::chrono::milliseconds backoff_{0};
   std::uint64_t jitter_;
   bool paused_ = false;
