Refuse a bad configuration whole, with a line for each of its faults

Found by reading and by the new tests:

- where connectTimeoutMs or connIdleMs was absent the program put figures of its own: they are required now
- at SIGHUP a file without listen, or with state but no state.dir, was refused for ever, although the environment had given both at the start

Readers add to one list of faults now and go on; the parser of settings, which the adapter shares, does likewise. A log line per fault.

tests/process_test.cpp: three expectations named words of the JSON library or of the first fault alone; the new ones name the key, or each fault. None accepts what it refused before.

Ruled out: static state in src/proxy/config and src/adapter (only constant sets of key names).

--- a/src/adapter/settings.cpp
+++ b/src/adapter/settings.cpp
@@ -7,13 +7,23 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace brackenspoke::adapter {
 namespace {
 
 constexpr double kMost = 1e12;            // no count, time or rate of a deployment is larger
+constexpr double kMostAttempts = 255;     // attempts are numbered in a byte on the wire
 constexpr double kMostListItems = 65536;  // indices of classes and tenants have 16 bits on the wire
+constexpr std::size_t kMostFaults = 100;  // that are listed
 
+std::string Joined(const std::vector<std::string>& faults) {
+  std::string all;
+  for (const std::string& fault : faults) all += (all.empty() ? "" : "; ") + fault;
+  return all;
+}
+
+// The pairs of a text, and what is found wrong with them. A faulty value reads as 0.
 class Pairs {
  public:
   explicit Pairs(std::string_view text) {
@@ -27,109 +37,122 @@
     }
   }
 
-  double Number(const std::string& key, double least = 0, double most = kMost) const {
-    const auto found = values_.find(key);
-    if (found == values_.end()) throw BadSettings("setting absent: " + key);
-    return Checked(key, found->second, least, most);
+  double Number(const std::string& key, double least = 0, double most = kMost) {
+    const auto text = Word(key);
+    if (!text) return 0;
+    double value = 0;
+    const auto [end, error] = std::from_chars(text->data(), text->data() + text->size(), value);
+    if (error != std::errc() || end != text->data() + text->size() || !std::isfinite(value))
+      return Fault("not a number", key), 0;
+    if (value < least || value > most) return Fault("out of range", key), 0;
+    return value;
   }
-  double NumberOr(const std::string& key, double otherwise, double least = 0, double most = kMost) const {
-    return values_.count(key) ? Number(key, least, most) : otherwise;
+  double NumberOr(const std::string& key, double otherwise, double least = 0, double most = kMost) {
+    return values_.contains(key) ? Number(key, least, most) : otherwise;
   }
-  int Whole(const std::string& key, double least, double most) const {
+  int Whole(const std::string& key, double least, double most) {
     const double value = Number(key, least, most);
-    if (value != std::floor(value)) throw BadSettings("setting not a whole number: " + key);
+    if (value != std::floor(value)) Fault("not a whole number", key);
     return static_cast<int>(value);
   }
-  Duration Time(const std::string& key) const { return Duration(Number(key)); }
-  std::string_view Word(const std::string& key, std::string_view otherwise) const {
+  int WholeOr(const std::string& key, int otherwise, double least, double most) {
+    return values_.contains(key) ? Whole(key, least, most) : otherwise;
+  }
+  Duration Time(const std::string& key) { return Duration(Number(key)); }
+
+  // Absent is a fault.
+  std::optional<std::string_view> Word(const std::string& key) {
     const auto found = values_.find(key);
-    return found == values_.end() ? otherwise : found->second;
+    if (found != values_.end()) return found->second;
+    Fault("absent", key);
+    return std::nullopt;
   }
-  std::string_view Word(const std::string& key) const {
+  std::string_view WordOr(const std::string& key, std::string_view otherwise) const {
     const auto found = values_.find(key);
-    if (found == values_.end()) throw BadSettings("setting absent: " + key);
-    return found->second;
+    return found == values_.end() ? otherwise : found->second;
+  }
+  // What the word under `key` stands for; the first of them if it is none of them.
+  template <typename Meaning>
+  Meaning OneOf(const std::string& key, const std::vector<std::pair<std::string_view, Meaning>>& meanings) {
+    const auto word = Word(key);
+    if (!word) return meanings.front().second;
+    for (const auto& [known, meaning] : meanings)
+      if (*word == known) return meaning;
+    Fault("of unknown meaning", key);
+    return meanings.front().second;
   }
 
- private:
-  static double Checked(const std::string& key, std::string_view text, double least, double most) {
-    double value = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (error != std::errc() || end != text.data() + text.size() || !std::isfinite(value))
-      throw BadSettings("setting not a number: " + key);
-    if (value < least || value > most) throw BadSettings("setting out of range: " + key);
-    return value;
+  void Fault(std::string_view what, const std::string& key) {
+    if (faults_.size() == kMostFaults) return;
+    faults_.push_back(std::string("setting ").append(what).append(": ").append(key));
   }
+  const std::vector<std::string>& faults() const { return faults_; }
 
+ private:
   std::map<std::string_view, std::string_view, std::less<>> values_;
+  std::vector<std::string> faults_;
 };
 
-Effect EffectOf(const Pairs& pairs, const std::string& key) {
-  const std::string_view word = pairs.Word(key);
-  if (word == "read_like") return Effect::kSafe;
-  if (word == "idempotency_key") return Effect::kKeyed;
-  if (word == "non_idempotent") return Effect::kUnsafe;
-  throw BadSettings("setting of unknown meaning: " + key);
+ClassSettings ReadClass(Pairs& pairs, const std::string& at) {
+  ClassSettings c;
+  c.effect = pairs.OneOf<Effect>(at + "effect", {{"non_idempotent", Effect::kUnsafe},
+                                                 {"idempotency_key", Effect::kKeyed},
+                                                 {"read_like", Effect::kSafe}});
+  if (c.effect == Effect::kKeyed) {
+    c.group = pairs.OneOf<Group>(at + "group",
+                                 {{"all", Group::kAll}, {"zone", Group::kZone}, {"cell", Group::kCell}});
+    c.window = pairs.Time(at + "windowMs");
+  }
+  c.aim = pairs.Time(at + "goalTimeMs");
+  c.deadline = pairs.Time(at + "deadlineMs");
+  c.worth = pairs.NumberOr(at + "worth", 1);
+  c.late_worth = pairs.NumberOr(at + "lateWorth", 0, 0, 1);
+  return c;
 }
 
-Group GroupOf(const Pairs& pairs, const std::string& key) {
-  const std::string_view word = pairs.Word(key);
-  if (word == "all") return Group::kAll;
-  if (word == "zone") return Group::kZone;
-  if (word == "cell") return Group::kCell;
-  throw BadSettings("setting of unknown meaning: " + key);
+void ReadAllowed(Pairs& pairs, Settings* settings) {
+  const std::string_view mode = pairs.WordOr("registryMode", "push");
+  if (mode != "push" && mode != "ask") pairs.Fault("of unknown meaning", "registryMode");
+  settings->must_ask_for_list = mode == "ask";
+  if (settings->must_ask_for_list) settings->must_ask_within = pairs.Time("rules.mustAskInMs");
+  settings->max_attempts = pairs.Whole("permissions.maxAttempts", 1, kMostAttempts);
+  if (pairs.WordOr("permissions.retryAfter", "false") == "true")
+    settings->max_retry_after = Duration(pairs.NumberOr("permissions.maxRetryAfterMs", 0));
 }
 
 }  // namespace
 
+BadSettings::BadSettings(std::vector<std::string> faults)
+    : std::runtime_error(Joined(faults)), faults_(std::move(faults)) {}
+
 Settings ParseSettings(std::string_view text) {
-  const Pairs pairs(text);
+  Pairs pairs(text);
   Settings settings;
   settings.balancers = pairs.Whole("balancers", 1, kMostListItems);
-  settings.me = static_cast<int>(pairs.NumberOr("me", 0, 0, kMostListItems));
+  settings.me = pairs.WholeOr("me", 0, 0, kMostListItems);
   settings.zone = pairs.Whole("zone", 0, kMostListItems);
 
   const int classes = pairs.Whole("classes.count", 1, kMostListItems);
-  for (int i = 0; i < classes; ++i) {
-    const std::string at = "classes." + std::to_string(i) + ".";
-    ClassSettings c;
-    c.effect = EffectOf(pairs, at + "effect");
-    if (c.effect == Effect::kKeyed) {
-      c.group = GroupOf(pairs, at + "group");
-      c.window = pairs.Time(at + "windowMs");
-    }
-    c.aim = pairs.Time(at + "goalTimeMs");
-    c.deadline = pairs.Time(at + "deadlineMs");
-    c.worth = pairs.NumberOr(at + "worth", 1);
-    c.late_worth = pairs.NumberOr(at + "lateWorth", 0, 0, 1);
-    settings.classes.push_back(c);
-  }
-
-  const int tenants = static_cast<int>(pairs.NumberOr("tenants.count", 0, 0, kMostListItems));
+  for (int i = 0; i < classes; ++i)
+    settings.classes.push_back(ReadClass(pairs, "classes." + std::to_string(i) + "."));
+  const int tenants = pairs.WholeOr("tenants.count", 0, 0, kMostListItems);
   for (int i = 0; i < tenants; ++i) {
-    const std::string at = "tenants." + std::to_string(i) + ".";
     TenantSettings tenant;
-    tenant.quota_per_s = pairs.NumberOr(at + "quotaPerS", 0);
+    tenant.quota_per_s = pairs.NumberOr("tenants." + std::to_string(i) + ".quotaPerS", 0);
     settings.tenants.push_back(tenant);
   }
 
   settings.over_share_worth = pairs.NumberOr("overShareWorth", 1, 0, 1);
   settings.price_cross_zone = pairs.NumberOr("deductions.crossZone", 0);
-  settings.warm_keys = pairs.Word("specifics.warmKeys", "false") == "true";
-
-  const std::string_view mode = pairs.Word("registryMode", "push");
-  if (mode != "push" && mode != "ask") throw BadSettings("setting of unknown meaning: registryMode");
-  settings.must_ask_for_list = mode == "ask";
-  if (settings.must_ask_for_list) settings.must_ask_within = pairs.Time("rules.mustAskInMs");
-  settings.max_attempts = pairs.Whole("permissions.maxAttempts", 1, 255);
-  if (pairs.Word("permissions.retryAfter", "false") == "true")
-    settings.max_retry_after = Duration(pairs.NumberOr("permissions.maxRetryAfterMs", 0));
+  settings.warm_keys = pairs.WordOr("specifics.warmKeys", "false") == "true";
+  ReadAllowed(pairs, &settings);
   settings.tick = Duration(pairs.NumberOr("periodMs", 1));
 
   settings.cold_from = pairs.Number("rules.coldFrom", 0, 1);
   settings.warm_up = pairs.Time("rules.warmUpMs");
   settings.fall_multiple = pairs.Number("rules.fallMultiple");
   settings.overload_for = pairs.Time("rules.overloadForMs");
+  if (!pairs.faults().empty()) throw BadSettings(pairs.faults());
   return settings;
 }
 
--- a/src/adapter/settings.h
+++ b/src/adapter/settings.h
@@ -5,16 +5,24 @@
 #define BRACKENSPOKE_ADAPTER_SETTINGS_H_
 
 #include <stdexcept>
+#include <string>
 #include <string_view>
+#include <vector>
 
 #include "brackenspoke/balancer.h"
 
 namespace brackenspoke::adapter {
 
-// A needed key is absent, or a key holds what it must not; what() names the key.
+// Needed keys are absent, or keys hold what they must not; what() names them all.
 class BadSettings : public std::runtime_error {
  public:
-  using std::runtime_error::runtime_error;
+  explicit BadSettings(std::vector<std::string> faults);
+
+  // One line each, "setting <what is wrong>: <key>"; of a great many only the first.
+  const std::vector<std::string>& faults() const { return faults_; }
+
+ private:
+  std::vector<std::string> faults_;
 };
 
 // Unknown keys are ignored; an absent optional key has its documented meaning.
--- a/src/base/config/section.cpp
+++ b/src/base/config/section.cpp
@@ -17,8 +17,7 @@
 
 }  // namespace
 
-Section::Section(const json& root, std::string name, const std::set<std::string>& keys,
-                 std::vector<std::string>* faults)
+Section::Section(const json& root, std::string name, std::vector<std::string>* faults)
     : name_(std::move(name)), faults_(faults) {
   const auto found = root.find(name_);
   if (found == root.end() || found->is_null()) return;
@@ -27,6 +26,12 @@
     return;
   }
   object_ = &*found;
+}
+
+Section::Section(const json& root, std::string name, const std::set<std::string>& keys,
+                 std::vector<std::string>* faults)
+    : Section(root, std::move(name), faults) {
+  if (!object_) return;
   for (const auto& [key, value] : object_->items())
     if (!keys.contains(key)) Fault(key, "is no known key");
 }
--- a/src/base/config/section.h
+++ b/src/base/config/section.h
@@ -25,6 +25,9 @@
   Section(const nlohmann::json& root, std::string name, const std::set<std::string>& keys,
           std::vector<std::string>* faults);
 
+  // As above, of a section that others may add keys to.
+  Section(const nlohmann::json& root, std::string name, std::vector<std::string>* faults);
+
   bool present() const { return object_ != nullptr; }
 
   // Each reads a key's value, or leaves `into` as it is where the key is absent or its value at fault.
--- a/src/proxy/config.cpp
+++ b/src/proxy/config.cpp
@@ -3,16 +3,16 @@
 
 #include <sys/resource.h>
 
-#include <fstream>
-#include <iterator>
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <utility>
 
 #include "config/across.h"
+#include "config/file.h"
+#include "config/json_text.h"
 #include "config/reader.h"
 #include "config/replacement.h"
-#include "settings.h"
 
 namespace brackenspoke::proxy {
 namespace {
@@ -25,35 +25,37 @@
   return all;
 }
 
+// Names of a file's own may hold what a line cannot.
+void KeepToOneLineEach(std::vector<std::string>* faults) {
+  for (std::string& fault : *faults)
+    std::replace_if(
+        fault.begin(), fault.end(), [](unsigned char c) { return c < ' ' || c == 0x7f; }, ' ');
+}
+
 std::string ReadFile(const Environment& env) {
   const char* path = env("ROUTER_CONFIG");
   if (!path || !*path) throw BadConfig("ROUTER_CONFIG is not set");
-  std::ifstream file(path, std::ios::binary);
-  if (!file) throw BadConfig("cannot read ROUTER_CONFIG: " + std::string(path));
-  return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+  return ReadConfigFile(path);
 }
 
-// What `read` makes of the configuration; BadConfig if it cannot.
-template <typename ReadRoot>
-auto Parsed(std::string_view text, ReadRoot read) {
-  const json root = json::parse(text, nullptr, /*allow_exceptions=*/false);
-  if (!root.is_object()) throw BadConfig("the configuration is no JSON object");
-  try {
-    return read(root);
-  } catch (const adapter::BadSettings& error) {
-    throw BadConfig(error.what());
-  } catch (const json::exception& error) {
-    throw BadConfig(error.what());
-  }
+// Where the process keeps what it has to: its own matter, which a new file does not change.
+void CheckStateFolder(const Config& config, std::vector<std::string>* faults) {
+  if (config.state.on && config.state_path.empty())
+    faults->push_back("state.dir is missing, and $TMPDIR is not set");
 }
 
 }  // namespace
 
 BadConfig::BadConfig(std::vector<std::string> faults)
-    : std::runtime_error(Joined(faults)), faults_(std::move(faults)) {}
+    : std::runtime_error(Joined(faults)), faults_(std::move(faults)) {
+  KeepToOneLineEach(&faults_);
+}
 
 Config ParseConfig(std::string_view text, const Environment& env) {
-  Config config = Parsed(text, [&](const json& root) { return ReadConfig(root, env); });
+  std::vector<std::string> faults;
+  Config config = ReadConfig(ParseObject(text), env, &faults);
+  CheckStateFolder(config, &faults);
+  if (!faults.empty()) throw BadConfig(std::move(faults));
   CheckAcross(config);
   return config;
 }
@@ -67,7 +69,7 @@
 }
 
 Config Reconfigure(std::string_view text, const Config& current) {
-  return Parsed(text, [&](const json& root) { return Replacement(root, current); });
+  return Replacement(ParseObject(text), current);
 }
 
 Config ReloadConfig(const Environment& env, const Config& current) {
@@ -81,6 +83,7 @@
   std::vector<std::string> unknown;
   for (const auto& [key, value] : root.items())
     if (!kKnown.contains(key)) unknown.push_back(key + " is no known key");
+  KeepToOneLineEach(&unknown);
   return unknown;
 }
 
@@ -88,16 +91,7 @@
   std::vector<std::string> faults;
   try {
     const std::string text = ReadFile(env);
-    const json root = json::parse(text, nullptr, /*allow_exceptions=*/false);
-    if (root.is_object()) {
-      faults = UnknownTopKeys(root);
-      fleet::ReadFleet(root, &faults);
-      state::ReadState(root, &faults);
-      fleet::ReadSites(root, &faults);
-      quota::ReadQuota(root, &faults);
-      spill::ReadSpill(root, &faults);
-      if (!faults.empty()) return faults;
-    }
+    faults = UnknownTopKeys(ParseObject(text));
     ParseConfig(text, env);
   } catch (const BadConfig& error) {
     faults.insert(faults.end(), error.faults().begin(), error.faults().end());
--- a/src/proxy/config.h
+++ b/src/proxy/config.h
@@ -48,8 +48,8 @@
   std::size_t memory = 192 * 1024 * 1024;  // bytes
   Settings settings;
   std::vector<std::string> classes, tenants, zones, kinds;  // their names, by index
-  Duration connect_timeout{250};
-  Duration conn_idle{15000};  // backends close what stands idle for this long
+  Duration connect_timeout{0};
+  Duration conn_idle{0};  // backends close what stands idle for this long
   MemberList known;
   fleet::FleetSection fleet;
   state::StateSection state;
--- a/src/proxy/config/reader.h
+++ b/src/proxy/config/reader.h
@@ -5,15 +5,16 @@
 #define BRACKENSPOKE_PROXY_CONFIG_READER_H_
 
 #include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <vector>
 
 #include "config.h"
 
 namespace brackenspoke::proxy {
 
-// What `root` says, where the environment does not go before it; each section right by itself (CheckAcross
-// looks at them together). Throws BadConfig, and json::exception or adapter::BadSettings on values that are
-// out of form.
-Config ReadConfig(const nlohmann::json& root, const Environment& env);
+// What `root` says, where the environment does not go before it; of use only if it adds no fault. Each
+// section is looked at by itself (CheckAcross looks at them together).
+Config ReadConfig(const nlohmann::json& root, const Environment& env, std::vector<std::string>* faults);
 
 }  // namespace brackenspoke::proxy
 
--- a/src/proxy/config/replacement.cpp
+++ b/src/proxy/config/replacement.cpp
@@ -4,9 +4,13 @@
 #include <nlohmann/json.hpp>
 #include <set>
 #include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
 
 #include "config/across.h"
 #include "config/reader.h"
+#include "config/settings_check.h"
 
 namespace brackenspoke::proxy {
 namespace {
@@ -20,33 +24,89 @@
   return kOptional.contains(key);
 }
 
-// A key that `before` has and `now` lacks; empty if there is none.
-std::string MissingKey(const json& before, const json& now, const std::string& path) {
-  if (!before.is_object()) return "";
+bool SameKind(const json& one, const json& other) {
+  return one.is_null() == other.is_null() && one.is_object() == other.is_object() &&
+         one.is_array() == other.is_array();
+}
+
+// What every object of a list has, from its first one; null if they are no objects.
+json CommonOf(const json& list) {
+  if (list.empty() || !list.front().is_object()) return nullptr;
+  json common = list.front();
+  for (const json& item : list) {
+    for (auto it = common.begin(); it != common.end();)
+      it = item.contains(it.key()) ? ++it : common.erase(it);
+  }
+  return common;
+}
+
+// Adds one line for each key that `before` has and `now` lacks. Of a list of objects each has to have what
+// all have had.
+void AddMissingKeys(const json& before, const json& now, const std::string& path,
+                    std::vector<std::string>* faults) {
+  if (!before.is_object()) return;
+  const auto miss = [faults](const std::string& at) { AddUnlessNamed(std::string(kMissing) + at, faults); };
   for (const auto& [key, inner] : before.items()) {
+    const std::string at = path + key;
     const auto found = now.find(key);
     if (found == now.end()) {
-      if (MayBeAbsent(key)) continue;
-      return path + key;
+      if (!MayBeAbsent(key)) miss(at);
+      continue;
     }
-    if (found->is_null() != inner.is_null() || found->is_object() != inner.is_object() ||
-        found->is_array() != inner.is_array())
-      return path + key;
-    if (std::string missing = MissingKey(inner, *found, path + key + "."); !missing.empty()) return missing;
-    if (!inner.is_array() || inner.empty() || !inner.front().is_object()) continue;
-    // Of a list of objects each has what all have had.
-    json common = inner.front();
-    for (const json& item : inner) {
-      for (auto it = common.begin(); it != common.end();)
-        it = item.contains(it.key()) ? ++it : common.erase(it);
+    if (!SameKind(inner, *found)) {
+      miss(at);
+      continue;
     }
-    for (std::size_t i = 0; i < found->size(); ++i) {
-      const std::string at = path + key + "." + std::to_string(i);
-      if (!(*found)[i].is_object()) return at;
-      if (std::string missing = MissingKey(common, (*found)[i], at + "."); !missing.empty()) return missing;
+    AddMissingKeys(inner, *found, at + ".", faults);
+    if (!inner.is_array()) continue;
+    const json common = CommonOf(inner);
+    for (std::size_t i = 0; common.is_object() && i < found->size(); ++i) {
+      const std::string item = at + "." + std::to_string(i);
+      if ((*found)[i].is_object())
+        AddMissingKeys(common, (*found)[i], item + ".", faults);
+      else
+        miss(item);
     }
   }
-  return "";
+}
+
+// The one that is meant where there is none; null where the settings are no object.
+json Setting(const json& root, const char* key, const json& absent) {
+  const auto settings = root.find("settings");
+  return settings != root.end() && settings->is_object() ? settings->value(key, absent) : json();
+}
+
+// What a process has from its start alone, and another there.
+void AddFixed(const json& root, const Config& fresh, const Config& current,
+              std::vector<std::string>* faults) {
+  const auto fixed = [faults](bool same, const std::string& key) {
+    if (!same) AddUnlessNamed(key + " needs a new start", faults);
+  };
+  const auto setting = [&](const char* key, const json& absent) {
+    const json now = Setting(root, key, absent);
+    fixed(now.is_null() || now == Setting(*current.file, key, absent), std::string("settings.") + key);
+  };
+  setting("zones", json::array());
+  setting("kinds", json::array());
+  setting("registryMode", "push");
+  fixed(fresh.quota.on == current.quota.on, "quota");
+  fixed(fresh.quota.treasurers == current.quota.treasurers, "quota.treasurers");
+  fixed(fresh.quota.draw == current.quota.draw, "quota.draw_ms");
+  fixed(fresh.quota.ask == current.quota.ask, "quota.ask_ms");
+}
+
+// As a start would have it, but for what the environment said then: its discovery is as old as the process,
+// and where it listens to clients stays.
+Environment AtReload(const json& root, const std::string& listen) {
+  const bool from_start = !root.contains("listen");
+  return [from_start, listen](const char* name) -> const char* {
+    return from_start && std::string_view(name) == "ROUTER_LISTEN" ? listen.c_str() : nullptr;
+  };
+}
+
+std::string Text(const boost::asio::ip::tcp::endpoint& at) {
+  const std::string address = at.address().to_string();
+  return (at.address().is_v6() ? "[" + address + "]" : address) + ":" + std::to_string(at.port());
 }
 
 // Gateways agree on budgets by their revision.
@@ -62,15 +122,11 @@
 }  // namespace
 
 Config Replacement(const json& root, const Config& current) {
-  if (const std::string missing = MissingKey(*current.file, root, ""); !missing.empty())
-    throw BadConfig("absent or of another kind: " + missing);
-  const Config fresh = ReadConfig(root, [](const char*) -> const char* { return nullptr; });
-  if (fresh.zones != current.zones || fresh.kinds != current.kinds ||
-      fresh.settings.must_ask_for_list != current.settings.must_ask_for_list)
-    throw BadConfig("zones, kinds and registryMode need a new start");
-  if (fresh.quota.on != current.quota.on || fresh.quota.treasurers != current.quota.treasurers ||
-      fresh.quota.draw != current.quota.draw || fresh.quota.ask != current.quota.ask)
-    throw BadConfig("all of quota but revision and partners needs a new start");
+  std::vector<std::string> faults;
+  const Config fresh = ReadConfig(root, AtReload(root, Text(current.listen)), &faults);
+  AddMissingKeys(*current.file, root, "", &faults);
+  AddFixed(root, fresh, current, &faults);
+  if (!faults.empty()) throw BadConfig(std::move(faults));
   CheckRevision(root, fresh, current);
   Config next = current;
   next.known = {};  // long known
--- a/src/proxy/config/settings_text.h
+++ b/src/proxy/config/settings_text.h
@@ -13,12 +13,9 @@
 // The path=value lines of the simulator's wire, so that one parser of settings serves both.
 std::string SettingsText(const nlohmann::json& settings);
 
-// The names in the list `name`, by index; none if there is no such list.
+// The names in the list `name`, by index, as they are written; none if there is no such list.
 std::vector<std::string> NamesIn(const nlohmann::json& settings, const char* name);
 
-// Throws BadConfig unless those that must be numbers above 0 are, which the parser does not tell from words.
-void CheckNumbers(const nlohmann::json& settings);
-
 }  // namespace brackenspoke::proxy
 
 #endif  // BRACKENSPOKE_PROXY_CONFIG_SETTINGS_TEXT_H_
--- a/src/proxy/main.cpp
+++ b/src/proxy/main.cpp
@@ -43,7 +43,8 @@
       running.Reconfigure(proxy::ReloadConfig(env, running.config()));
       log::Info("config", "reloaded");
     } catch (const proxy::BadConfig& error) {
-      log::Error("config", Failure(proxy::kNotReloaded, std::string("not reloaded: ") + error.what()));
+      for (const std::string& fault : error.faults())
+        log::Error("config", Failure(proxy::kNotReloaded, "not reloaded: " + fault));
     }
   });
 }
@@ -93,7 +94,7 @@
     });
     Run(io);
   } catch (const proxy::BadConfig& error) {
-    log::Error("config", Failure(proxy::kBadConfig, error.what()));
+    for (const std::string& fault : error.faults()) log::Error("config", Failure(proxy::kBadConfig, fault));
     return 1;
   } catch (const std::exception& error) {
     log::Error("process", Failure(proxy::kNotStarted, error.what()));
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -58,9 +58,9 @@
     return json.dump();
   };
   with(changed("/listen", "here"), "listen");
-  with(changed("/discovery", 5), "type");
+  with(changed("/discovery", 5), "discovery is no string");
   with(changed("/seed", "xyz"), "seed");
-  with(changed("/settings", nullptr), "balancers");
+  with(changed("/settings", nullptr), "settings is no object");
   with(changed("/settings/balancers", "many"), "balancers");
   with(changed("/settings/classes/0/effect", "odd"), "effect");
   with(changed("/settings/permissions/connIdleMs", -1), "connIdleMs");
@@ -78,12 +78,15 @@
   Process json_logs(PROXY_PATH, {"--log-format", "json"}, {{"ROUTER_CONFIG", bad.path}});
   const auto lines = json_logs.LinesAtEnd();
   EXPECT_EQ(json_logs.Reap(), 1);
-  ASSERT_FALSE(lines.empty());
-  const std::string& line = lines.front();
-  const auto parsed = nlohmann::json::parse(line, nullptr, false);
-  ASSERT_TRUE(parsed.is_object()) << line;
-  EXPECT_EQ(parsed["level"], "error");
-  EXPECT_NE(parsed["event"].get<std::string>().find("fleet.bind is no host:port"), std::string::npos);
+  const std::vector<std::string> faults{"fleet.extra is no known key", "fleet.bind is no host:port",
+                                        "fleet.probe_interval_ms is out of range"};
+  ASSERT_EQ(lines.size(), faults.size());
+  for (std::size_t i = 0; i < lines.size(); ++i) {
+    const auto parsed = nlohmann::json::parse(lines[i], nullptr, false);
+    ASSERT_TRUE(parsed.is_object()) << lines[i];
+    EXPECT_EQ(parsed["level"], "error");
+    EXPECT_NE(parsed["event"].get<std::string>().find(faults[i]), std::string::npos) << lines[i];
+  }
   EXPECT_NE(Process(PROXY_PATH, {"--log-format", "xml"}, {}).Reap(), 0);
 }
 
@@ -148,7 +151,11 @@
   ASSERT_TRUE(found);
   const std::string& line = found->second;
   EXPECT_NE(line.find(" error n1 config: CONFIG-1 "), std::string::npos) << line;
-  EXPECT_NE(line.find(": not reloaded: the configuration is no JSON object; "), std::string::npos) << line;
+  EXPECT_NE(
+      line.find(": not reloaded: the configuration is no JSON object: it breaks off or is garbled at line 1, "
+                "column 14; "),
+      std::string::npos)
+      << line;
   file.Write(config(after.address()));
   process.Signal(SIGHUP);
   ASSERT_TRUE(after.WaitForWatches(1));
