Close idle server connections at a reload that shortens their time

A connection that stood idle as SIGHUP brought a shorter connIdleMs kept the time of the settings before, while its server closes by the new one: a request written to it in between ends as a reset. Connections that are idle then are closed; the next requests open new ones under the new times.

Found by the tests that show that nothing of one deployment is in force in another (tests/sites/side_by_side_test.cpp): names decide nothing in the module and the adapter, two modules and two proxies in one program decide as each alone, and after a reload the names, rules, limits and times are those of a fresh start with the new settings.

--- a/src/proxy/backends.cpp
+++ b/src/proxy/backends.cpp
@@ -68,8 +68,14 @@
 }
 
 void Backends::SetTimes(Duration connect_timeout, Duration conn_idle) {
+  const bool shorter = conn_idle < limits_.conn_idle;
   limits_.connect_timeout = connect_timeout;
   limits_.conn_idle = conn_idle;
+  if (!shorter) return;
+  // What stands idle waits for the time of before, and backends may now close it first.
+  std::vector<ServerId> servers;
+  for (const auto& [server, backend] : backends_) servers.push_back(server);
+  for (const ServerId server : servers) CloseIdle(server);
 }
 
 void Backends::Shrink(std::size_t connections) {
--- a/src/proxy/backends.h
+++ b/src/proxy/backends.h
@@ -86,7 +86,7 @@
   // time-out counts from the request's last byte.
   void Send(ServerId server, Outgoing request, Duration timeout, AttemptEvents events);
 
-  // From the next connections on.
+  // From the next connections on; what stands idle is closed if it may not any more for as long.
   void SetTimes(Duration connect_timeout, Duration conn_idle);
 
   std::size_t connections() const { return open_; }
