--- a/src/proxy/backends.h
+++ b/src/proxy/backends.h
@@ -95,7 +95,7 @@
   // begins it. One that has been written goes on, as does what has ended already.
   void GiveUp(AttemptId attempt);
 
-  // From the next connections on.
+  // From the next connections on; what stands idle is closed if it may not any more for as long.
   void SetTimes(Duration connect_timeout, Duration conn_idle);
 
   std::size_t connections() const { return open_; }
