Rename src/proxy/desk to admin: AdminHandler and MaintenanceController

OperatorsDesk becomes AdminHandler, ServersOut becomes MaintenanceController, with members, comments and pages: what was obeyed is applied, what was looked at is polled, the servers out are the detached backends. The lambda that joined the site's part of a status line and the federation's is a function, JoinParts. Operators' commands, their answers, log lines and files are as before; OperatorCall, OperatorReply and Operators keep their names for now, as tests use them.

Behaviour stays.

--- a/src/proxy/desk/operators_desk.cpp
+++ b/src/proxy/admin/admin_handler.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "desk/operators_desk.h"
+#include "admin/admin_handler.h"
 
 #include <string>
 #include <utility>
@@ -16,9 +16,15 @@
 OperatorReply StoppingNow() { return OperatorReply::No(Failure(kStopping, "stopping")); }
 OperatorReply TakingClients() { return OperatorReply::Yes("taking clients"); }
 
+// The site's part of a status line and the federation's, separated by a semicolon where both have text.
+std::string JoinParts(const std::string& site, const std::string& federation) {
+  if (site.empty() || federation.empty()) return site + federation;
+  return site + "; " + federation;
+}
+
 }  // namespace
 
-void OperatorsDesk::OnCall(const OperatorCall& call, OnReply reply) {
+void AdminHandler::OnCall(const OperatorCall& call, OnReply reply) {
   switch (call.verb) {
     case OperatorCall::Verb::kPing:
       return reply(Ping());
@@ -29,14 +35,14 @@
     case OperatorCall::Verb::kMembers:
     case OperatorCall::Verb::kState:
     case OperatorCall::Verb::kLeases:
-      return reply(AskFleet(call.verb));
+      return reply(DescribeFleet(call.verb));
     case OperatorCall::Verb::kDetach:
     case OperatorCall::Verb::kAttach:
       return maintenance_.Change(call, std::move(reply));
   }
 }
 
-OperatorReply OperatorsDesk::Ping() {
+OperatorReply AdminHandler::Ping() {
   door_.Tell();
   switch (door_.state()) {
     case Door::State::kStopping:
@@ -53,14 +59,14 @@
   return TakingClients();
 }
 
-OperatorReply OperatorsDesk::Lameduck() {
+OperatorReply AdminHandler::Lameduck() {
   door_.Drain();
   if (fleet_.node()) fleet_.node()->Leave();
   if (federation_.federation()) federation_.federation()->Leave();
   return OperatorReply::Yes("draining");
 }
 
-OperatorReply OperatorsDesk::Rejoin() {
+OperatorReply AdminHandler::Rejoin() {
   if (door_.state() == Door::State::kStopping) return StoppingNow();
   if (fleet_.node()) fleet_.node()->Rejoin();
   if (federation_.federation()) federation_.federation()->Rejoin();
@@ -68,18 +74,15 @@
   return TakingClients();
 }
 
-OperatorReply OperatorsDesk::AskFleet(OperatorCall::Verb verb) {
+OperatorReply AdminHandler::DescribeFleet(OperatorCall::Verb verb) {
   fleet::Node* const node = fleet_.node();
   Federation* const sites = federation_.federation();
   if (!node) return OperatorReply::No(Failure(kNoFleet, "no fleet"));
-  const auto with = [](std::string line, const std::string& more) {
-    return more.empty() ? line : std::move(line) + (line.empty() ? "" : "; ") + more;
-  };
   if (verb == OperatorCall::Verb::kMembers)
-    return OperatorReply::Yes(with(node->Describe(), sites ? sites->Members() : ""));
+    return OperatorReply::Yes(JoinParts(node->Describe(), sites ? sites->Members() : ""));
   if (verb == OperatorCall::Verb::kState)
-    return OperatorReply::Yes(with(node->DescribeState(), sites ? sites->State() : ""));
-  const std::string leases = with(node->DescribeLeases(), sites ? sites->Leases() : "");
+    return OperatorReply::Yes(JoinParts(node->DescribeState(), sites ? sites->State() : ""));
+  const std::string leases = JoinParts(node->DescribeLeases(), sites ? sites->Leases() : "");
   if (leases.empty()) return OperatorReply::No(Failure(kNoFleet, "no leases"));
   return OperatorReply::Yes(leases);
 }
--- /dev/null
+++ b/src/proxy/admin/admin_handler.h
@@ -0,0 +1,41 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Executes the operators' admin commands (docs/operations.md).
+#ifndef BRACKENSPOKE_PROXY_ADMIN_ADMIN_HANDLER_H_
+#define BRACKENSPOKE_PROXY_ADMIN_ADMIN_HANDLER_H_
+
+#include "operators.h"
+
+namespace brackenspoke::proxy {
+
+class Door;
+class FederationLink;
+class FleetLink;
+class MaintenanceDuty;
+
+// Handles the commands that the operators' listener receives: readiness, draining, maintenance, and status of
+// the fleet.
+class AdminHandler : public OperatorHandler {
+ public:
+  // All references must outlive this object.
+  AdminHandler(Door& door, MaintenanceDuty& maintenance, FleetLink& fleet, FederationLink& federation)
+      : door_(door), maintenance_(maintenance), fleet_(fleet), federation_(federation) {}
+
+  void OnCall(const OperatorCall& call, OnReply reply) override;
+
+ private:
+  OperatorReply Ping();
+  OperatorReply Lameduck();
+  OperatorReply Rejoin();
+  // Answers MEMBERS, STATE or LEASES for the site's fleet, followed by the federation's part.
+  OperatorReply DescribeFleet(OperatorCall::Verb verb);
+
+  Door& door_;
+  MaintenanceDuty& maintenance_;
+  FleetLink& fleet_;
+  FederationLink& federation_;
+};
+
+}  // namespace brackenspoke::proxy
+
+#endif  // BRACKENSPOKE_PROXY_ADMIN_ADMIN_HANDLER_H_
--- a/src/proxy/fleet_link/maintenance_duty.cpp
+++ b/src/proxy/fleet_link/maintenance_duty.cpp
@@ -6,8 +6,8 @@
 #include <string>
 #include <utility>
 
+#include "admin/maintenance_controller.h"
 #include "base/log.h"
-#include "desk/servers_out.h"
 #include "fleet/lease/failures.h"
 #include "fleet_link/fact_life.h"
 #include "fleet_link/fleet_link.h"
@@ -17,11 +17,11 @@
 void MaintenanceDuty::Change(const OperatorCall& call, OnReply reply) {
   const bool out = call.verb == OperatorCall::Verb::kDetach;
   if (!fleet_.node() || !fleet_.node()->leased())
-    return servers_.Change(call.id, out, nullptr, std::move(reply));
+    return controller_.Change(call.id, out, nullptr, std::move(reply));
   const auto guard = fleet_.node()->Guard(fleet::kMaintenanceDuty);
   if (!guard) return reply(OperatorReply::No(NotTheHolder()));
   // The disk may take longer than the lease; then the change is another holder's to make.
-  servers_.Change(
+  controller_.Change(
       call.id, out, [&] { return Publish(*guard); }, std::move(reply));
 }
 
@@ -35,11 +35,11 @@
   std::set<std::string> out;
   for (const nlohmann::json& id : fact.value)
     if (id.is_string() && !id.get<std::string>().empty()) out.insert(id.get<std::string>());
-  servers_.Replace(std::move(out));
+  controller_.Replace(std::move(out));
 }
 
 Result<void> MaintenanceDuty::Publish(const fleet::LeaseGuard& guard) {
-  return fleet_.node()->Publish(guard, "maintenance", servers_.out(), kFactLasts);
+  return fleet_.node()->Publish(guard, "maintenance", controller_.detached(), kFactLasts);
 }
 
 Failure MaintenanceDuty::NotTheHolder() const {
--- a/src/proxy/fleet_link/maintenance_duty.h
+++ b/src/proxy/fleet_link/maintenance_duty.h
@@ -15,12 +15,13 @@
 namespace brackenspoke::proxy {
 
 class FleetLink;
-class ServersOut;
+class MaintenanceController;
 
 class MaintenanceDuty {
  public:
   // Both outlive the last call; they need not be made yet.
-  MaintenanceDuty(FleetLink& fleet, ServersOut& servers) : fleet_(fleet), servers_(servers) {}
+  MaintenanceDuty(FleetLink& fleet, MaintenanceController& controller)
+      : fleet_(fleet), controller_(controller) {}
 
   // DETACH or ATTACH: made under the lease, where duties have leases; the reply says if it is another's.
   void Change(const OperatorCall& call, OnReply reply);
@@ -34,7 +35,7 @@
   Failure NotTheHolder() const;
 
   FleetLink& fleet_;
-  ServersOut& servers_;
+  MaintenanceController& controller_;
 };
 
 }  // namespace brackenspoke::proxy
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -45,11 +45,11 @@
       verdicts_(module_),
       federation_(module_, pending_),
       fleet_(module_, servers_, discovery_, maintenance_, recovery_),
-      maintenance_(fleet_, servers_out_),
+      maintenance_(fleet_, maintenance_controller_),
       requests_(module_, pending_, servers_, backends_, fleet_, federation_),
       limits_(config_->sockets, overlap_, buffers_, clients_, backends_, federation_),
       servers_(config_->zones, config_->kinds, module_, backends_, verdicts_),
-      servers_out_(InState(*config_, ".maintenance"), overlap_, servers_, module_, backends_),
+      maintenance_controller_(InState(*config_, ".maintenance"), overlap_, servers_, module_, backends_),
       discovery_(io, *config_, module_, servers_, door_, fleet_),
       backends_(io,
                 Backends::Limits{config_->connect_timeout, config_->conn_idle,
@@ -59,12 +59,12 @@
           io, config_->listen, [this] { return limits_.MostClients(); }, buffers_, *this),
       door_(io, clients_, overlap_, servers_),
       recovery_(io, module_, verdicts_, servers_, fleet_, federation_),
-      desk_(door_, maintenance_, fleet_, federation_) {
-  servers_out_.Obey();
+      admin_handler_(door_, maintenance_, fleet_, federation_) {
+  maintenance_controller_.Apply();
   servers_.Take(config_->known, ListKind::kCached);
   if (!config_->settings.must_ask_for_list) discovery_.Watch();
   door_.Begin();
-  if (config_->operators) operators_ = std::make_unique<Operators>(io, *config_->operators, desk_);
+  if (config_->operators) operators_ = std::make_unique<Operators>(io, *config_->operators, admin_handler_);
   fleet_.Begin(io, *config_, InState(*config_, ".votes"));
   federation_.Begin(
       io, *config_, InState(*config_, ".sites-votes"), fleet_.node(),
@@ -100,7 +100,7 @@
 }
 
 void Proxy::OnLook() {
-  servers_out_.Look();
+  maintenance_controller_.Poll();
   door_.Tell();
   if (processes_ != overlap_.processes()) {
     processes_ = overlap_.processes();
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -11,6 +11,8 @@
 #include <memory>
 #include <string>
 
+#include "admin/admin_handler.h"
+#include "admin/maintenance_controller.h"
 #include "backends.h"
 #include "clients.h"
 #include "config.h"
@@ -21,8 +23,6 @@
 #include "core/pending.h"
 #include "core/requests.h"
 #include "core/server_directory.h"
-#include "desk/operators_desk.h"
-#include "desk/servers_out.h"
 #include "federation/link.h"
 #include "fleet_link/discovery_duty.h"
 #include "fleet_link/fleet_link.h"
@@ -83,13 +83,13 @@
   Requests requests_;
   Limits limits_;
   ServerDirectory servers_;
-  ServersOut servers_out_;
+  MaintenanceController maintenance_controller_;
   DiscoveryDuty discovery_;
   Backends backends_;
   Clients clients_;
   Door door_;
   Recovery recovery_;
-  OperatorsDesk desk_;
+  AdminHandler admin_handler_;
   std::unique_ptr<Operators> operators_;  // where the configuration names their address
 };
 
