Rename Overlap to HotRestart, with the standard terms for what it does

src/proxy/overlap.* becomes hot_restart.*: processes poll the shared page, publish their resource usage, accept clients, and acknowledge a version of the maintenance file.

Behaviour stays.

--- a/src/proxy/admin/maintenance_controller.cpp
+++ b/src/proxy/admin/maintenance_controller.cpp
@@ -8,7 +8,7 @@
 #include "backends.h"
 #include "core/module_driver.h"
 #include "core/server_directory.h"
-#include "overlap.h"
+#include "hot_restart.h"
 #include "proxy/failures.h"
 
 namespace brackenspoke::proxy {
@@ -19,14 +19,14 @@
 
 }  // namespace
 
-MaintenanceController::MaintenanceController(const std::string& path, Overlap& overlap,
+MaintenanceController::MaintenanceController(const std::string& path, HotRestart& hot_restart,
                                              ServerDirectory& servers, ModuleDriver& module,
                                              Backends& backends)
-    : overlap_(overlap),
+    : hot_restart_(hot_restart),
       servers_(servers),
       module_(module),
       backends_(backends),
-      maintenance_(path, overlap) {}
+      maintenance_(path, hot_restart) {}
 
 void MaintenanceController::Apply() {
   const std::set<std::string> before = std::exchange(applied_, maintenance_.out());
@@ -46,7 +46,7 @@
 
 void MaintenanceController::Poll() {
   if (maintenance_.Refresh()) Apply();
-  overlap_.Seen(maintenance_.version());
+  hot_restart_.AcknowledgeMaintenance(maintenance_.version());
   SendDueReplies();
 }
 
@@ -74,7 +74,7 @@
 
 void MaintenanceController::SendDueReplies() {
   for (std::size_t i = 0; i < pending_replies_.size();) {
-    const bool applied_by_all = overlap_.SeenByAll(pending_replies_[i].version);
+    const bool applied_by_all = hot_restart_.MaintenanceAcknowledgedByAll(pending_replies_[i].version);
     if (!applied_by_all && Steady::now() < pending_replies_[i].deadline) {
       ++i;
       continue;
--- a/src/proxy/admin/maintenance_controller.h
+++ b/src/proxy/admin/maintenance_controller.h
@@ -21,7 +21,7 @@
 
 class Backends;
 class ModuleDriver;
-class Overlap;
+class HotRestart;
 class ServerDirectory;
 
 // Applies the set of detached backends. Not thread-safe; used on the event loop alone.
@@ -31,8 +31,8 @@
   using Publish = std::function<Result<void>()>;
 
   // `path` is the file of `Maintenance`, which throws std::system_error if it cannot be read. All references
-  // must outlive this object; only `overlap` must be constructed before it.
-  MaintenanceController(const std::string& path, Overlap& overlap, ServerDirectory& servers,
+  // must outlive this object; only `hot_restart` must be constructed before it.
+  MaintenanceController(const std::string& path, HotRestart& hot_restart, ServerDirectory& servers,
                         ModuleDriver& module, Backends& backends);
 
   // Ids of the backends that are detached.
@@ -60,7 +60,7 @@
 
   void SendDueReplies();
 
-  Overlap& overlap_;
+  HotRestart& hot_restart_;
   ServerDirectory& servers_;
   ModuleDriver& module_;
   Backends& backends_;
--- a/src/proxy/core/door.cpp
+++ b/src/proxy/core/door.cpp
@@ -8,7 +8,7 @@
 #include "clients.h"
 #include "clock.h"
 #include "core/server_directory.h"
-#include "overlap.h"
+#include "hot_restart.h"
 
 namespace brackenspoke::proxy {
 namespace {
@@ -29,13 +29,14 @@
 
 }  // namespace
 
-Door::Door(boost::asio::io_context& io, Clients& clients, Overlap& overlap, const ServerDirectory& servers)
-    : clients_(clients), overlap_(overlap), servers_(servers), timer_(io) {}
+Door::Door(boost::asio::io_context& io, Clients& clients, HotRestart& hot_restart,
+           const ServerDirectory& servers)
+    : clients_(clients), hot_restart_(hot_restart), servers_(servers), timer_(io) {}
 
 void Door::Begin() {
-  if (overlap_.processes() == 1) {
+  if (hot_restart_.processes() == 1) {
     clients_.Open();
-    return overlap_.Listening();
+    return hot_restart_.RegisterListener();
   }
   timer_.expires_after(kFreshList);
   timer_.async_wait([this](const boost::system::error_code& cancelled) {
@@ -51,19 +52,19 @@
 void Door::OpenWhenListed() {
   if (!servers_.AnyListed() || clients_.Stopping()) return;
   clients_.Open();
-  overlap_.Listening();
+  hot_restart_.RegisterListener();
   Tell();
 }
 
 bool Door::Taking() const { return servers_.AnyListed() && clients_.Listening() && !clients_.Draining(); }
 
-bool Door::Open() const { return Taking() || (clients_.Stopping() && overlap_.OtherTakes()); }
+bool Door::Open() const { return Taking() || (clients_.Stopping() && hot_restart_.OtherAccepts()); }
 
-void Door::Tell() { overlap_.SetTaking(Taking()); }
+void Door::Tell() { hot_restart_.SetAccepting(Taking()); }
 
 void Door::Drain() {
   clients_.Drain();
-  overlap_.SetTaking(false);
+  hot_restart_.SetAccepting(false);
 }
 
 void Door::Rejoin() {
@@ -72,12 +73,12 @@
 }
 
 void Door::Stop(const Settings& settings, std::function<void()> done) {
-  const bool replaced = overlap_.OtherTakes();
-  if (replaced) clients_.Steer(overlap_.OtherIsLater() ? 1 : 0);
+  const bool replaced = hot_restart_.OtherAccepts();
+  if (replaced) clients_.Steer(hot_restart_.OtherListensLater() ? 1 : 0);
   clients_.Stop(replaced ? kReplacedGrace : kStopGrace, replaced ? kReplacedIdle : kStopIdle,
                 Steady::now() + std::chrono::duration_cast<Steady::duration>(TimeToEnd(settings)),
                 std::move(done));
-  overlap_.SetTaking(false);
+  hot_restart_.SetAccepting(false);
 }
 
 Door::State Door::state() const {
--- a/src/proxy/core/door.h
+++ b/src/proxy/core/door.h
@@ -13,13 +13,14 @@
 namespace brackenspoke::proxy {
 
 class Clients;
-class Overlap;
+class HotRestart;
 class ServerDirectory;
 
 class Door {
  public:
   // All that is given outlives this.
-  Door(boost::asio::io_context& io, Clients& clients, Overlap& overlap, const ServerDirectory& servers);
+  Door(boost::asio::io_context& io, Clients& clients, HotRestart& hot_restart,
+       const ServerDirectory& servers);
 
   // Listens at once, or beside another process of this proxy once the list is fresh.
   void Begin();
@@ -45,7 +46,7 @@
   void OpenWhenListed();
 
   Clients& clients_;
-  Overlap& overlap_;
+  HotRestart& hot_restart_;
   const ServerDirectory& servers_;
   boost::asio::steady_timer timer_;
 };
--- a/src/proxy/core/limits.cpp
+++ b/src/proxy/core/limits.cpp
@@ -6,7 +6,7 @@
 #include "backends.h"
 #include "clients.h"
 #include "federation/link.h"
-#include "overlap.h"
+#include "hot_restart.h"
 
 namespace brackenspoke::proxy {
 namespace {
@@ -28,18 +28,18 @@
 }
 
 void Limits::Publish() const {
-  overlap_.Publish({clients_.connections(), backends_.connections(), buffers_.held()});
+  hot_restart_.PublishUsage({clients_.connections(), backends_.connections(), buffers_.held()});
 }
 
 std::size_t Limits::MostClients() const {
   Publish();
-  return Rest(Descriptors(overlap_.processes()) * kClientShare, overlap_.Others().clients);
+  return Rest(Descriptors(hot_restart_.processes()) * kClientShare, hot_restart_.UsageOfOthers().clients);
 }
 
 std::size_t Limits::MostBackends() const {
   Publish();
-  return Rest(Descriptors(overlap_.processes()) * (1 - kClientShare),
-              overlap_.Others().backends + federation_.connections());
+  return Rest(Descriptors(hot_restart_.processes()) * (1 - kClientShare),
+              hot_restart_.UsageOfOthers().backends + federation_.connections());
 }
 
 void Limits::Share(int processes) {
--- a/src/proxy/core/limits.h
+++ b/src/proxy/core/limits.h
@@ -13,16 +13,16 @@
 class Backends;
 class Clients;
 class FederationLink;
-class Overlap;
+class HotRestart;
 
 class Limits {
  public:
   // `sockets` is the descriptors that one process may hold. All else outlives the last call; it need not be
   // made yet.
-  Limits(int sockets, Overlap& overlap, const Buffers& buffers, Clients& clients, Backends& backends,
+  Limits(int sockets, HotRestart& hot_restart, const Buffers& buffers, Clients& clients, Backends& backends,
          const FederationLink& federation)
       : sockets_(sockets),
-        overlap_(overlap),
+        hot_restart_(hot_restart),
         buffers_(buffers),
         clients_(clients),
         backends_(backends),
@@ -41,7 +41,7 @@
   double Descriptors(int processes) const;
 
   const int sockets_;
-  Overlap& overlap_;
+  HotRestart& hot_restart_;
   const Buffers& buffers_;
   Clients& clients_;
   Backends& backends_;
--- a/src/proxy/maintenance.cpp
+++ b/src/proxy/maintenance.cpp
@@ -13,8 +13,8 @@
 
 namespace brackenspoke::proxy {
 
-Maintenance::Maintenance(std::string path, Overlap& overlap)
-    : path_(std::move(path)), overlap_(overlap), version_(overlap.version()) {
+Maintenance::Maintenance(std::string path, HotRestart& hot_restart)
+    : path_(std::move(path)), hot_restart_(hot_restart), version_(hot_restart.maintenance_version()) {
   if (!path_.empty()) out_ = Read();
 }
 
@@ -54,27 +54,27 @@
     return true;
   }
   try {
-    const Overlap::Lock lock = overlap_.LockChanges();
+    const HotRestart::MaintenanceLock lock = hot_restart_.LockMaintenance();
     const std::set<std::string> before = Read();  // another process may have changed it since
     std::set<std::string> changed = before;
     edit(changed);
     if (changed != before) {
       Write(changed);
-      version_ = overlap_.NextVersion();
+      version_ = hot_restart_.AdvanceMaintenanceVersion();
     } else {
-      version_ = overlap_.version();
+      version_ = hot_restart_.maintenance_version();
     }
     out_ = std::move(changed);
   } catch (const std::system_error& error) {
     log::Error("maintenance", Failure(kMaintenanceFile, path_, error.what()));
     return false;
   }
-  overlap_.Seen(version_);
+  hot_restart_.AcknowledgeMaintenance(version_);
   return true;
 }
 
 bool Maintenance::Refresh() {
-  const std::uint64_t version = overlap_.version();
+  const std::uint64_t version = hot_restart_.maintenance_version();
   if (path_.empty() || version == version_) return false;
   try {
     out_ = Read();
--- a/src/proxy/maintenance.h
+++ b/src/proxy/maintenance.h
@@ -8,14 +8,14 @@
 #include <set>
 #include <string>
 
-#include "overlap.h"
+#include "hot_restart.h"
 
 namespace brackenspoke::proxy {
 
 class Maintenance {
  public:
   // `path` names the file; empty to keep nothing. Throws std::system_error if it is there and cannot be read.
-  Maintenance(std::string path, Overlap& overlap);
+  Maintenance(std::string path, HotRestart& hot_restart);
 
   const std::set<std::string>& out() const { return out_; }
   std::uint64_t version() const { return version_; }
@@ -34,7 +34,7 @@
   void Write(const std::set<std::string>& out) const;
 
   std::string path_;
-  Overlap& overlap_;
+  HotRestart& hot_restart_;
   std::set<std::string> out_;
   std::uint64_t version_ = 0;
 };
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -38,8 +38,9 @@
 
 Proxy::Proxy(boost::asio::io_context& io, Config config)
     : config_(std::make_shared<const Config>(std::move(config))),
-      overlap_(io, InState(*config_, ".page")),
-      buffers_(MostHeldWhole(*config_), PieceSize(*config_), [this] { return overlap_.Others().buffers; }),
+      hot_restart_(io, InState(*config_, ".page")),
+      buffers_(MostHeldWhole(*config_), PieceSize(*config_),
+               [this] { return hot_restart_.UsageOfOthers().buffers; }),
       actions_(module_, servers_, requests_, backends_, verdicts_, discovery_, fleet_),
       module_(io, config_->settings, config_->seed, actions_),
       verdicts_(module_),
@@ -47,9 +48,9 @@
       fleet_(module_, servers_, discovery_, maintenance_, recovery_),
       maintenance_(fleet_, maintenance_controller_),
       requests_(module_, pending_, servers_, backends_, fleet_, federation_),
-      limits_(config_->sockets, overlap_, buffers_, clients_, backends_, federation_),
+      limits_(config_->sockets, hot_restart_, buffers_, clients_, backends_, federation_),
       servers_(config_->zones, config_->kinds, module_, backends_, verdicts_),
-      maintenance_controller_(InState(*config_, ".maintenance"), overlap_, servers_, module_, backends_),
+      maintenance_controller_(InState(*config_, ".maintenance"), hot_restart_, servers_, module_, backends_),
       discovery_(io, *config_, module_, servers_, door_, fleet_),
       backends_(io,
                 Backends::Limits{config_->connect_timeout, config_->conn_idle,
@@ -57,7 +58,7 @@
                 buffers_),
       clients_(
           io, config_->listen, [this] { return limits_.MostClients(); }, buffers_, *this),
-      door_(io, clients_, overlap_, servers_),
+      door_(io, clients_, hot_restart_, servers_),
       recovery_(io, module_, verdicts_, servers_, fleet_, federation_),
       admin_handler_(door_, maintenance_, fleet_, federation_) {
   maintenance_controller_.Apply();
@@ -70,7 +71,7 @@
       io, *config_, InState(*config_, ".sites-votes"), fleet_.node(),
       [this] { return limits_.MostBackends(); }, buffers_);
   recovery_.Begin(*config_, InState(*config_, ".snapshot"));
-  overlap_.Watch([this] { OnLook(); });
+  hot_restart_.StartPolling([this] { OnLook(); });
 }
 
 // What speaks to others ends before what it speaks of.
@@ -102,8 +103,8 @@
 void Proxy::OnLook() {
   maintenance_controller_.Poll();
   door_.Tell();
-  if (processes_ != overlap_.processes()) {
-    processes_ = overlap_.processes();
+  if (processes_ != hot_restart_.processes()) {
+    processes_ = hot_restart_.processes();
     log::Info("proxy", std::to_string(processes_) + " processes are this proxy");
     module_.Feed(Sharing{processes_});
   }
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -27,8 +27,8 @@
 #include "fleet_link/discovery_duty.h"
 #include "fleet_link/fleet_link.h"
 #include "fleet_link/maintenance_duty.h"
+#include "hot_restart.h"
 #include "operators.h"
-#include "overlap.h"
 #include "recovery/own_verdicts.h"
 #include "recovery/recovery.h"
 
@@ -70,7 +70,7 @@
   // The parts know each other by reference. Clients end first, which may end attempts, and then backends: all
   // that an event may reach is above them.
   std::shared_ptr<const Config> config_;  // in force
-  Overlap overlap_;
+  HotRestart hot_restart_;
   int processes_ = 1;  // that the module was told of
   Buffers buffers_;
   PendingRequests pending_;
