--- a/bench/quota_scale.cpp
+++ b/bench/quota_scale.cpp
@@ -79,19 +79,19 @@
 
 void PrintCosts(const std::vector<Row>& rows) {
   std::printf(
-      "\nA second, of one gateway and of one treasurer, in the mean; processor time for a virtual second.\n\n"
+      "\nA second, of one gateway and of one allocator, in the mean; processor time for a virtual second.\n\n"
       "| gateways | partners | scenario | asked of a gateway | a gateway sends | entries each | and bytes | "
       "a "
-      "treasurer sends | entries each | and bytes | charge, ns | gateway, ms | treasurer, ms | run took, s "
+      "allocator sends | entries each | and bytes | charge, ns | gateway, ms | allocator, ms | run took, s "
       "|\n"
       "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n");
   for (const auto& [gateways, partners, name, options, figures, took] : rows) {
     const auto all = static_cast<double>(gateways) * figures.seconds;
-    const auto duties = static_cast<double>(std::min(options.treasurers, partners)) * figures.seconds;
+    const auto duties = static_cast<double>(std::min(options.allocators, partners)) * figures.seconds;
     const auto each = [](std::uint64_t entries, std::uint64_t messages) {
       return static_cast<double>(entries) / std::max(static_cast<double>(messages), 1.0);
     };
-    const Costs &g = figures.gateways, &t = figures.treasurers;
+    const Costs &g = figures.gateways, &t = figures.allocators;
     std::printf(
         "| %zu | %zu | %s | %.1f | %.2f | %.2f | %.0f | %.1f | %.2f | %.0f | %.0f | %.3f | %.2f | %.1f |\n",
         gateways, partners, name, figures.asked / all, static_cast<double>(g.messages) / all,
--- a/model/quota/gateways.cpp
+++ b/model/quota/gateways.cpp
@@ -13,7 +13,7 @@
 constexpr Span kArrivals = milliseconds(20);  // that are drawn at a time
 
 struct Wire {
-  std::size_t treasurer = 0;
+  std::size_t allocator = 0;
   std::variant<quota::Request, quota::Answer, fleet::LeaseMessage> message;
 };
 
@@ -22,7 +22,7 @@
   return 60 + 40 * request.asks.size() + 30 * request.acks.size();
 }
 std::size_t BytesOf(const quota::Answer& answer) {
-  return 60 + 40 * answer.draws.size() + 16 * answer.calls.size() + 30 * answer.floors.size();
+  return 60 + 40 * answer.grants.size() + 16 * answer.calls.size() + 30 * answer.floors.size();
 }
 
 }  // namespace
@@ -40,17 +40,17 @@
                  [this](const std::string& partner, double units, bool inside, bool ran) {
                    Count(partner, units, inside, ran);
                  }),
-        leases_(host, life_, number, all.voters_, all.options_.treasurers, all.options_.timings, all.holders_,
+        leases_(host, life_, number, all.voters_, all.options_.allocators, all.options_.timings, all.holders_,
                 [&host](const Endpoint& to, const fleet::LeaseMessage& message) {
                   host.Send(to, Wire{0, message}, kLeaseBytes);
                 }),
         next_draw_(host.Now()) {
     accounts_.push_back(NewAccount(life_));
-    for (std::size_t i = 0; i < all.options_.treasurers; ++i)
-      treasurers_.emplace_back(
-          quota::TreasurerOptions{i, all.options_.treasurers, all.layout_, all.options_.timings},
+    for (std::size_t i = 0; i < all.options_.allocators; ++i)
+      allocators_.emplace_back(
+          quota::AllocatorOptions{i, all.options_.allocators, all.layout_, all.options_.timings},
           all.files_[number]);
-    guards_.resize(treasurers_.size());
+    guards_.resize(allocators_.size());
   }
 
   void Receive(const Packet& packet) override {
@@ -58,20 +58,20 @@
     const Time now = host_.Now();
     if (const auto* answer = std::get_if<quota::Answer>(&wire.message)) {
       quota::AccountActions actions;
-      account().Receive(now, wire.treasurer, *answer, &actions);
+      account().Receive(now, wire.allocator, *answer, &actions);
       return Act(actions);
     }
     if (const auto* lease = std::get_if<fleet::LeaseMessage>(&wire.message))
       return leases_.Receive(packet.from, *lease);
     const auto from = all_.by_address_.find(packet.from);
-    // The guard that there was may be used late: it is for the treasurer to ask it.
-    std::optional<fleet::LeaseGuard>& guard = guards_[wire.treasurer];
-    if (auto held = leases_.Guard(wire.treasurer)) guard.emplace(std::move(*held));
+    // The guard that there was may be used late: it is for the allocator to ask it.
+    std::optional<fleet::LeaseGuard>& guard = guards_[wire.allocator];
+    if (auto held = leases_.Guard(wire.allocator)) guard.emplace(std::move(*held));
     if (!guard || stepping_down_) return;
-    quota::TreasurerActions actions;
-    treasurers_[wire.treasurer].Receive(now, *guard, all_.names_[from->second],
+    quota::AllocatorActions actions;
+    allocators_[wire.allocator].Receive(now, *guard, all_.names_[from->second],
                                         std::get<quota::Request>(wire.message), &actions);
-    Act(wire.treasurer, actions);
+    Act(wire.allocator, actions);
   }
 
   void Tick() override {
@@ -81,10 +81,10 @@
       stepping_down_ = false;
       leases_.GiveBack();
     }
-    for (std::size_t i = 0; i < treasurers_.size(); ++i)
-      if (const auto guard = treasurers_[i].Next() <= now ? Guard(i) : std::nullopt) {
-        quota::TreasurerActions actions;
-        treasurers_[i].Tick(now, *guard, &actions);
+    for (std::size_t i = 0; i < allocators_.size(); ++i)
+      if (const auto guard = allocators_[i].Next() <= now ? Guard(i) : std::nullopt) {
+        quota::AllocatorActions actions;
+        allocators_[i].Tick(now, *guard, &actions);
         Act(i, actions);
       }
     Serve(now);
@@ -99,13 +99,13 @@
         {leases_.Next(), all_.options_.greed.on ? spender_.Next() : next_draw_, accounts_.back()->Next()});
     if (stepping_down_) next = std::min(next, OutUntil(now));
     if (at_ < arrivals_.size()) next = std::min(next, arrivals_[at_].at);
-    for (std::size_t i = 0; i < treasurers_.size(); ++i)
-      if (Guard(i)) next = std::min(next, treasurers_[i].Next());
+    for (std::size_t i = 0; i < allocators_.size(); ++i)
+      if (Guard(i)) next = std::min(next, allocators_[i].Next());
     return next;
   }
 
   void Renew(std::shared_ptr<const quota::Budgets> budgets) {
-    for (quota::Treasurer& treasurer : treasurers_) treasurer.Renew(budgets);
+    for (quota::Allocator& allocator : allocators_) allocator.Renew(budgets);
     quota::AccountActions actions;
     account().Renew(host_.Now(), std::move(budgets), &actions);
     Act(actions);
@@ -134,15 +134,15 @@
   std::unique_ptr<quota::Account> NewAccount(std::uint64_t life) {
     const GatewaysOptions& options = all_.options_;
     return std::make_unique<quota::Account>(
-        quota::AccountOptions{SiteName(site_), options.per_site, life, options.treasurers, options.timings},
+        quota::AccountOptions{SiteName(site_), options.per_site, life, options.allocators, options.timings},
         all_.files_[number_], host_.Now());
   }
-  std::optional<fleet::LeaseGuard> Guard(std::size_t treasurer) const {
-    return stepping_down_ ? std::nullopt : leases_.Guard(treasurer);
+  std::optional<fleet::LeaseGuard> Guard(std::size_t allocator) const {
+    return stepping_down_ ? std::nullopt : leases_.Guard(allocator);
   }
   Time OutUntil(Time now) const {
     Time latest = now;
-    for (const quota::Treasurer& treasurer : treasurers_) latest = std::max(latest, treasurer.OutUntil(now));
+    for (const quota::Allocator& allocator : allocators_) latest = std::max(latest, allocator.OutUntil(now));
     return latest;
   }
 
@@ -192,18 +192,18 @@
   void Act(const quota::AccountActions& actions) {
     for (const quota::AccountAction& action : actions) {
       const auto* send = std::get_if<quota::SendRequest>(&action);
-      const auto holder = send ? all_.Holder(send->treasurer) : std::nullopt;
-      if (holder) Post(*holder, Wire{send->treasurer, send->request}, BytesOf(send->request));
+      const auto holder = send ? all_.Holder(send->allocator) : std::nullopt;
+      if (holder) Post(*holder, Wire{send->allocator, send->request}, BytesOf(send->request));
     }
   }
 
-  void Act(std::size_t treasurer, const quota::TreasurerActions& actions) {
-    for (const quota::TreasurerAction& action : actions) {
+  void Act(std::size_t allocator, const quota::AllocatorActions& actions) {
+    for (const quota::AllocatorAction& action : actions) {
       const auto* send = std::get_if<quota::SendAnswer>(&action);
       if (!send) continue;
       const auto to = static_cast<std::size_t>(
           std::find(all_.names_.begin(), all_.names_.end(), send->gateway) - all_.names_.begin());
-      Post(to, Wire{treasurer, send->answer}, BytesOf(send->answer));
+      Post(to, Wire{allocator, send->answer}, BytesOf(send->answer));
     }
   }
 
@@ -225,7 +225,7 @@
   std::mt19937_64 random_;
   const std::size_t site_;
   std::vector<std::unique_ptr<quota::Account>> accounts_;  // the last one has the gateway's address
-  std::vector<quota::Treasurer> treasurers_;
+  std::vector<quota::Allocator> allocators_;
   std::vector<std::optional<fleet::LeaseGuard>> guards_;  // the newest of each
   bool stepping_down_ = false;
   Spender spender_;
--- a/model/quota/gateways.h
+++ b/model/quota/gateways.h
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 //
-// Gateways of several sites in the model, each with its account of quotas and the treasurers that it may come
+// Gateways of several sites in the model, each with its account of quotas and the allocators that it may come
 // to be, under clients that send to them as a scenario says.
 #ifndef BRACKENSPOKE_MODEL_QUOTA_GATEWAYS_H_
 #define BRACKENSPOKE_MODEL_QUOTA_GATEWAYS_H_
@@ -16,13 +16,13 @@
 #include "model/quota/spender.h"
 #include "model/world.h"
 #include "quota/account.h"
-#include "quota/treasurer.h"
+#include "quota/allocator.h"
 
 namespace brackenspoke::model {
 
 struct GatewaysOptions {
   std::uint64_t seed = 1;
-  std::size_t sites = 3, per_site = 3, treasurers = 2;
+  std::size_t sites = 3, per_site = 3, allocators = 2;
   quota::Timings timings;
   double clocks_apart = 1;  // of what the drift allows: 0: all clocks are true
   double credited = 0;      // share of the admitted requests that prove not to have run
@@ -59,13 +59,13 @@
   void SetBudgets(std::size_t gateway, std::shared_ptr<const quota::Budgets> budgets);
   // Greedy clients save up from now on, or spend again.
   void Save(bool saving) { saving_ = saving; }
-  // Another process takes over the gateway's address; the one before lets its draws end beside it.
+  // Another process takes over the gateway's address; the one before lets its grants end beside it.
   void HandOver(std::size_t gateway);
-  // The gateway hands out no draws until those that it has handed out have ended, and gives its leases back.
+  // The gateway hands out no grants until those that it has handed out have ended, and gives its leases back.
   void StepDown(std::size_t gateway);
   // The machine that holds a duty, as others see it.
-  std::optional<std::size_t> Holder(std::size_t treasurer) const {
-    return holders_.At(treasurer, world_.now());
+  std::optional<std::size_t> Holder(std::size_t allocator) const {
+    return holders_.At(allocator, world_.now());
   }
 
   const std::map<std::string, Tally>& tallies() const { return tallies_; }
--- a/model/quota/lease_member.h
+++ b/model/quota/lease_member.h
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 //
-// The treasurers' leases as one gateway of the model takes part in them.
+// The allocators' leases as one gateway of the model takes part in them.
 #ifndef BRACKENSPOKE_MODEL_QUOTA_LEASE_MEMBER_H_
 #define BRACKENSPOKE_MODEL_QUOTA_LEASE_MEMBER_H_
 
--- a/model/quota/mutants/any_order.partner_account.sed
+++ b/model/quota/mutants/any_order.partner_account.sed
@@ -1,2 +1,2 @@
-# A draw that comes late replaces a newer one.
+# A grant that comes late replaces a newer one.
 s/if (id <= id_ || /if (id == id_ || /
--- a/model/quota/mutants/counts_from_receipt.account.sed
+++ b/model/quota/mutants/counts_from_receipt.account.sed
@@ -1,2 +1,2 @@
-# A draw lasts from its receipt.
-s/until = asked->second +/until = now +/
+# A grant lasts from its receipt.
+s/asked->second + std::min/now + std::min/
--- a/model/quota/mutants/floor_not_counted.commitments.sed
+++ b/model/quota/mutants/floor_not_counted.commitments.sed
@@ -1,2 +1,2 @@
-# What has no draw in force has nothing, acknowledged or not.
-s/held\.lent_until >= begin + slot_ ? drawn : Larger(drawn, floor)/held.lent_until >= begin + slot_ || drawn.rate > 0 ? drawn : floor/
+# What has no grant in force has nothing, acknowledged or not.
+s/held\.lent_until >= begin + slot_ ? granted : Larger(granted, floor)/held.lent_until >= begin + slot_ || granted.rate > 0 ? granted : floor/
--- a/model/quota/mutants/forgets_early.commitments.sed
+++ b/model/quota/mutants/forgets_early.commitments.sed
@@ -1,2 +1,2 @@
-# A draw is forgotten a slot before it has ended.
-s/draw\.until <= now;/draw.until <= now + slot_;/
+# A grant is forgotten a slot before it has ended.
+s/grant\.until <= now;/grant.until <= now + slot_;/
--- a/model/quota/mutants/keeps_floor.partner_account.sed
+++ b/model/quota/mutants/keeps_floor.partner_account.sed
@@ -1,2 +1,2 @@
-# The floor is back when the draw is over, though a longer one was acknowledged.
+# The floor is back when the grant is over, though a longer one was acknowledged.
 s/^  PutFloorAway(until);/  floor_.from = until;/
--- a/model/quota/mutants/late_acknowledgement.commitments.sed
+++ b/model/quota/mutants/late_acknowledgement.commitments.sed
@@ -1,2 +1,2 @@
-# An acknowledgement ends newer draws, too.
-s/draw\.life == life && draw\.id < id;/draw.life == life \&\& draw.id != id;/
+# An acknowledgement ends newer grants, too.
+s/grant\.life == life && grant\.id < id;/grant.life == life \&\& grant.id != id;/
--- a/model/quota/mutants/lent_from_receipt.commitments.sed
+++ b/model/quota/mutants/lent_from_receipt.commitments.sed
@@ -1,2 +1,2 @@
-# A floor is away until the draw has ended for certain.
+# A floor is away until the grant has ended for certain.
 s/taken->sent + away - apart_/taken->until + 0 * away/
--- a/model/quota/mutants/nothing_out.commitments.sed
+++ b/model/quota/mutants/nothing_out.commitments.sed
@@ -1,2 +1,2 @@
-# No draw is out when the lease is to be given back.
-/^Time Commitments::LastEnd/,/^}/{/held\.draws) now/d;/gateway, held/d}
+# No grant is out when the lease is to be given back.
+/^Time Commitments::LastEnd/,/^}/{/held\.grants) now/d;/gateway, held/d}
--- a/model/quota/mutants/one_slot.partner_treasury.sed
+++ b/model/quota/mutants/one_slot.partner_allocator.sed
@@ -1,2 +1,2 @@
-# Only the first slot of a draw is looked at.
+# Only the first slot of a grant is looked at.
 s/if (begin >= most) break;/if (begin > now) break;/
--- a/model/quota/scale/crowd.cpp
+++ b/model/quota/scale/crowd.cpp
@@ -15,17 +15,17 @@
 constexpr std::uint64_t kTimedCharges = 16;  // one of so many is timed, as a clock costs as much as a charge
 
 struct Wire {
-  std::size_t treasurer = 0;
+  std::size_t allocator = 0;
   std::variant<quota::Request, quota::Answer, fleet::LeaseMessage> message;
 };
 
 template <typename Message>
-std::size_t BytesOf(std::size_t treasurer, const Message& message) {
-  return kEnvelope + json::to_msgpack(json{{"t", treasurer}, {"q", quota::ToJson(message)}}).size();
+std::size_t BytesOf(std::size_t allocator, const Message& message) {
+  return kEnvelope + json::to_msgpack(json{{"t", allocator}, {"q", quota::ToJson(message)}}).size();
 }
 std::size_t EntriesOf(const quota::Request& request) { return request.asks.size() + request.acks.size(); }
 std::size_t EntriesOf(const quota::Answer& answer) {
-  return answer.draws.size() + answer.calls.size() + answer.floors.size();
+  return answer.grants.size() + answer.calls.size() + answer.floors.size();
 }
 
 }  // namespace
@@ -37,17 +37,17 @@
         host_(host),
         number_(number),
         life_(++all.lives_),
-        account_({SiteName(all.SiteOf(number)), all.options_.per_site, life_, all.options_.treasurers,
+        account_({SiteName(all.SiteOf(number)), all.options_.per_site, life_, all.options_.allocators,
                   all.options_.timings},
                  all.budgets_, host.Now()) {
     if (!all.candidate_[number]) return;
-    leases_.emplace(host, life_, number, all.voters_, all.options_.treasurers, all.options_.timings,
+    leases_.emplace(host, life_, number, all.voters_, all.options_.allocators, all.options_.timings,
                     all.holders_, [&host](const Endpoint& to, const fleet::LeaseMessage& message) {
                       host.Send(to, Wire{0, message}, kLeaseBytes);
                     });
-    for (std::size_t i = 0; i < all.options_.treasurers; ++i)
-      treasurers_.emplace_back(
-          quota::TreasurerOptions{i, all.options_.treasurers, all.layout_, all.options_.timings},
+    for (std::size_t i = 0; i < all.options_.allocators; ++i)
+      allocators_.emplace_back(
+          quota::AllocatorOptions{i, all.options_.allocators, all.layout_, all.options_.timings},
           all.budgets_);
   }
 
@@ -57,18 +57,18 @@
     if (const auto* answer = std::get_if<quota::Answer>(&wire.message)) {
       const double begin = all_.Processor();
       quota::AccountActions actions;
-      account_.Receive(host_.Now(), wire.treasurer, *answer, &actions);
+      account_.Receive(host_.Now(), wire.allocator, *answer, &actions);
       Act(actions);
       all_.Timed(begin, &all_.gateway_costs_.rest_s);
     } else if (const auto* request = std::get_if<quota::Request>(&wire.message)) {
-      const auto guard = leases_ ? leases_->Guard(wire.treasurer) : std::nullopt;
+      const auto guard = leases_ ? leases_->Guard(wire.allocator) : std::nullopt;
       if (!guard) return;
       const double begin = all_.Processor();
-      quota::TreasurerActions actions;
-      treasurers_[wire.treasurer].Receive(host_.Now(), *guard, all_.names_[all_.by_address_.at(packet.from)],
+      quota::AllocatorActions actions;
+      allocators_[wire.allocator].Receive(host_.Now(), *guard, all_.names_[all_.by_address_.at(packet.from)],
                                           *request, &actions);
-      Act(wire.treasurer, actions);
-      all_.Timed(begin, &all_.treasurer_costs_.rest_s);
+      Act(wire.allocator, actions);
+      all_.Timed(begin, &all_.allocator_costs_.rest_s);
     } else if (leases_) {
       leases_->Receive(packet.from, std::get<fleet::LeaseMessage>(wire.message));
     }
@@ -77,14 +77,14 @@
   void Tick() override {
     const Time now = host_.Now();
     if (leases_) leases_->Tick();
-    for (std::size_t i = 0; i < treasurers_.size(); ++i) {
-      const auto guard = treasurers_[i].Next() <= now ? leases_->Guard(i) : std::nullopt;
+    for (std::size_t i = 0; i < allocators_.size(); ++i) {
+      const auto guard = allocators_[i].Next() <= now ? leases_->Guard(i) : std::nullopt;
       if (!guard) continue;
       const double begin = all_.Processor();
-      quota::TreasurerActions actions;
-      treasurers_[i].Tick(now, *guard, &actions);
+      quota::AllocatorActions actions;
+      allocators_[i].Tick(now, *guard, &actions);
       Act(i, actions);
-      all_.Timed(begin, &all_.treasurer_costs_.rest_s);
+      all_.Timed(begin, &all_.allocator_costs_.rest_s);
     }
     Serve();
     if (account_.Next() > now) return;
@@ -100,8 +100,8 @@
     if (leases_) next = std::min(next, leases_->Next());
     const Moment arrival = all_.clients_[number_].Next();
     if (arrival != Moment::max()) next = std::min(next, all_.clocks_[number_].At(arrival));
-    for (std::size_t i = 0; i < treasurers_.size(); ++i)
-      if (leases_->Guard(i)) next = std::min(next, treasurers_[i].Next());
+    for (std::size_t i = 0; i < allocators_.size(); ++i)
+      if (leases_->Guard(i)) next = std::min(next, allocators_[i].Next());
     return next;
   }
 
@@ -121,25 +121,25 @@
   }
 
   template <typename Message>
-  void Send(std::size_t to, std::size_t treasurer, const Message& message, Costs* costs) {
-    const std::size_t bytes = BytesOf(treasurer, message);
+  void Send(std::size_t to, std::size_t allocator, const Message& message, Costs* costs) {
+    const std::size_t bytes = BytesOf(allocator, message);
     ++costs->messages;
     costs->bytes += bytes;
     costs->entries += EntriesOf(message);
-    host_.Send(all_.addresses_[to], Wire{treasurer, message}, bytes);
+    host_.Send(all_.addresses_[to], Wire{allocator, message}, bytes);
   }
 
   void Act(const quota::AccountActions& actions) {
     for (const quota::AccountAction& action : actions)
       if (const auto* send = std::get_if<quota::SendRequest>(&action))
-        if (const auto holder = all_.holders_.At(send->treasurer, all_.world_.now()))
-          Send(*holder, send->treasurer, send->request, &all_.gateway_costs_);
+        if (const auto holder = all_.holders_.At(send->allocator, all_.world_.now()))
+          Send(*holder, send->allocator, send->request, &all_.gateway_costs_);
   }
 
-  void Act(std::size_t treasurer, const quota::TreasurerActions& actions) {
-    for (const quota::TreasurerAction& action : actions)
+  void Act(std::size_t allocator, const quota::AllocatorActions& actions) {
+    for (const quota::AllocatorAction& action : actions)
       if (const auto* send = std::get_if<quota::SendAnswer>(&action))
-        Send(all_.by_name_.at(send->gateway), treasurer, send->answer, &all_.treasurer_costs_);
+        Send(all_.by_name_.at(send->gateway), allocator, send->answer, &all_.allocator_costs_);
   }
 
   Crowd& all_;
@@ -147,7 +147,7 @@
   const std::size_t number_;
   const std::uint64_t life_;
   quota::Account account_;
-  std::vector<quota::Treasurer> treasurers_;
+  std::vector<quota::Allocator> allocators_;
   std::optional<LeaseMember> leases_;
 };
 
@@ -211,8 +211,8 @@
   return taken;
 }
 
-std::optional<std::size_t> Crowd::Holder(std::size_t treasurer) {
-  const auto holder = holders_.At(treasurer, world_.now());
+std::optional<std::size_t> Crowd::Holder(std::size_t allocator) {
+  const auto holder = holders_.At(allocator, world_.now());
   return holder && world_.program(*holder) ? holder : std::nullopt;
 }
 
--- a/model/quota/scale/crowd.h
+++ b/model/quota/scale/crowd.h
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 //
 // Many gateways under many partners' clients, in virtual time: each with its account of quotas, and some that
-// may come to be treasurers. What goes between them is packed as on the wire.
+// may come to be allocators. What goes between them is packed as on the wire.
 #ifndef BRACKENSPOKE_MODEL_QUOTA_SCALE_CROWD_H_
 #define BRACKENSPOKE_MODEL_QUOTA_SCALE_CROWD_H_
 
@@ -16,15 +16,15 @@
 #include "model/quota/scale/clients.h"
 #include "model/world.h"
 #include "quota/account.h"
-#include "quota/treasurer.h"
+#include "quota/allocator.h"
 
 namespace brackenspoke::model::scale {
 
 struct CrowdOptions {
   std::uint64_t seed = 1;
   std::size_t sites = 3, per_site = 3;
-  std::size_t treasurers = 4;
-  std::size_t candidates = 9;  // gateways that ask for the treasurers' leases, one a site in turn
+  std::size_t allocators = 4;
+  std::size_t candidates = 9;  // gateways that ask for the allocators' leases, one a site in turn
   quota::Timings timings;
   double (*processor_s)() = nullptr;  // processor time of this thread so far; null: costs are not timed
   double clocks_apart = 0.001;        // of what the drift allows
@@ -39,10 +39,10 @@
   bool inside = false;
 };
 
-// Of all gateways, or of all treasurers, together.
+// Of all gateways, or of all allocators, together.
 struct Costs {
   std::uint64_t messages = 0, bytes = 0;  // sent
-  std::uint64_t entries = 0;              // asks, acks, draws, calls and floors in them
+  std::uint64_t entries = 0;              // asks, acks, grants, calls and floors in them
   std::uint64_t charges = 0;
   double charges_s = 0, rest_s = 0;  // processor time in the classes: charging; all else
 };
@@ -68,11 +68,11 @@
   // Requests since the last call, of each partner, in order.
   std::vector<std::vector<Offered>> TakeOffered();
   // The machine that holds the duty as others see it, while it runs.
-  std::optional<std::size_t> Holder(std::size_t treasurer);
+  std::optional<std::size_t> Holder(std::size_t allocator);
 
   const Costs& gateways() const { return gateway_costs_; }
-  const Costs& treasurers() const { return treasurer_costs_; }
-  void ClearCosts() { gateway_costs_ = treasurer_costs_ = {}; }
+  const Costs& allocators() const { return allocator_costs_; }
+  void ClearCosts() { gateway_costs_ = allocator_costs_ = {}; }
 
  private:
   class Program;
@@ -97,7 +97,7 @@
   Holders holders_;
   std::vector<Clients> clients_;
   std::vector<std::vector<Offered>> offered_;
-  Costs gateway_costs_, treasurer_costs_;
+  Costs gateway_costs_, allocator_costs_;
   double clock_s_ = 0;
   std::uint64_t lives_ = 0;
 };
--- a/model/quota/scale/run.cpp
+++ b/model/quota/scale/run.cpp
@@ -100,7 +100,7 @@
     Until(from + options_.counted);
     Sum();
     figures_.gateways = crowd_.gateways();
-    figures_.treasurers = crowd_.treasurers();
+    figures_.allocators = crowd_.allocators();
     figures_.seconds = std::chrono::duration<double>(options_.counted).count();
     return figures_;
   }
@@ -111,7 +111,7 @@
     crowd.seed = options.seed;
     crowd.sites = options.sites;
     crowd.per_site = options.per_site;
-    crowd.treasurers = options.treasurers;
+    crowd.allocators = options.allocators;
     crowd.processor_s = options.processor_s;
     return crowd;
   }
@@ -141,12 +141,12 @@
       if (options_.scenario == Scenario::kShifts && now % kShiftEvery == Moment(0))
         Load(static_cast<std::size_t>(now / kShiftEvery), 3, now, now + kShiftEvery);
       std::vector<std::optional<std::size_t>> holders;
-      for (std::size_t i = 0; i < options_.treasurers; ++i) holders.push_back(crowd_.Holder(i));
+      for (std::size_t i = 0; i < options_.allocators; ++i) holders.push_back(crowd_.Holder(i));
       crowd_.world().RunUntil(now + kStep);
       const bool settling = options_.scenario == Scenario::kShifts && now % kShiftEvery < kSettles;
       const auto offered = crowd_.TakeOffered();
       for (PartnerId p = 0; p < offered.size(); ++p)
-        Judge(accounts_[p], offered[p], holders[quota::TreasurerOf(crowd_.partner(p), options_.treasurers)],
+        Judge(accounts_[p], offered[p], holders[quota::AllocatorOf(crowd_.partner(p), options_.allocators)],
               counting_ && !settling);
     }
   }
@@ -210,10 +210,10 @@
 
   // The holder of the first partner's duty; only the partners of its duties count from now on.
   void Kill() {
-    const auto dead = crowd_.Holder(quota::TreasurerOf(crowd_.partner(0), options_.treasurers));
+    const auto dead = crowd_.Holder(quota::AllocatorOf(crowd_.partner(0), options_.allocators));
     if (!dead) return;
     for (PartnerId p = 0; p < options_.partners; ++p)
-      accounts_[p].counts = crowd_.Holder(quota::TreasurerOf(crowd_.partner(p), options_.treasurers)) == dead;
+      accounts_[p].counts = crowd_.Holder(quota::AllocatorOf(crowd_.partner(p), options_.allocators)) == dead;
     crowd_.Crash(*dead);
   }
 
--- a/model/quota/scale/run.h
+++ b/model/quota/scale/run.h
@@ -21,7 +21,7 @@
 
 struct RunOptions {
   Scenario scenario = Scenario::kSteady;
-  std::size_t sites = 3, per_site = 3, partners = 3, treasurers = 4;
+  std::size_t sites = 3, per_site = 3, partners = 3, allocators = 4;
   std::size_t active = 9;                  // gateways that a partner has traffic at
   double per_s = 20;                       // of a partner's budget for each of these
   double burst_s = 2;                      // of the budget's rate
@@ -46,7 +46,7 @@
   double spent_before = 0, ideal_before = 0;     // in as much time before the count began
   double way_ms = 0;                             // that the central counter adds to a request, mean
   double unanswered = 0;                         // requests that found no central counter
-  Costs gateways, treasurers;                    // in the count's time
+  Costs gateways, allocators;                    // in the count's time
   double seconds = 0;                            // of the count
 };
 
--- a/model/quota/scenario.cpp
+++ b/model/quota/scenario.cpp
@@ -24,16 +24,17 @@
   options_.seed = seed;
   options_.sites = kSites;
   options_.per_site = Chance(60) ? 1 : Draw<std::size_t>(2, 3);
-  options_.treasurers = Draw<std::size_t>(1, 2);
-  // From draws much shorter than the leases to draws as long as they may be.
-  options_.timings.draw = milliseconds(std::vector{500, 1000, 2000, 2700, 2790}[Draw<std::size_t>(0, 4)]);
-  options_.timings.ask = options_.timings.draw / Draw(4, 10);
+  options_.allocators = Draw<std::size_t>(1, 2);
+  // From grants much shorter than the leases to grants as long as they may be.
+  options_.timings.grant_life =
+      milliseconds(std::vector{500, 1000, 2000, 2700, 2790}[Draw<std::size_t>(0, 4)]);
+  options_.timings.ask = options_.timings.grant_life / Draw(4, 10);
   options_.greed.on = true;
   options_.greed.probe = Chance(50) ? 1 : 2;
   options_.greed.credited = Chance(25) ? 0.3 : 0;
   options_.late = std::vector<double>{0, 0, 0.1, 0.4}[Draw<std::size_t>(0, 3)];
   options_.again = std::vector<double>{0, 0.3, 0.8}[Draw<std::size_t>(0, 2)];
-  options_.latest = options_.timings.draw * Draw(1, 15) / 10;
+  options_.latest = options_.timings.grant_life * Draw(1, 15) / 10;
   partners_ = {"isar"};
   if (Chance(20)) partners_.emplace_back("lech");
   rate_ = 1000 * kOne;
@@ -100,12 +101,12 @@
   // Arrange.
   if (!Reloads(seed_)) options.kinds.insert(options.kinds.end(), {kCrash, kCrashNoDisk, kCrash, kCrash});
   std::vector<Fault> faults = DrawFaults(seed_, options);
-  // One gateway after the other is alone for about a draw's life: what it has is not renewed.
+  // One gateway after the other is alone for about a grant's life: what it has is not renewed.
   std::mt19937_64 random(seed_);
   const auto draw = [&random](Moment low, Moment high) {
     return Moment(std::uniform_int_distribution<Moment::rep>(low.count(), high.count())(random));
   };
-  const Moment life = options_.timings.draw;
+  const Moment life = options_.timings.grant_life;
   for (Moment at = kSettled; seed_ % 2 == 0 && at < kRun;) {
     const Moment lasts = draw(life / 2, life * 2);
     faults.push_back({at, lasts, kPartition, {static_cast<std::size_t>(random() % options.machines)}, 0});
--- a/model/quota/search.cpp
+++ b/model/quota/search.cpp
@@ -41,7 +41,7 @@
 std::optional<QuotaFinding> CheckLater(std::uint64_t seed, const Scenario& scenario,
                                        const std::string& partner, const std::vector<Admission>& admitted) {
   const quota::Timings& timings = scenario.options().timings;
-  const Moment held = scenario.reloaded() + timings.draw + timings.drift;
+  const Moment held = scenario.reloaded() + timings.grant_life + timings.drift;
   std::vector<Admission> later;
   for (const Admission& admission : admitted)
     if (admission.at >= held) later.push_back(admission);
--- a/model/quota/search.h
+++ b/model/quota/search.h
@@ -15,7 +15,7 @@
 
 // A scenario is a function of its seed (model/quota/scenario.h): small bursts, clients that spend all that an
 // account lets through and save up before, demand that moves, clocks at the ends of what the drift allows,
-// draws up to as long as a lease may be, credits, messages that come late and twice, leases and addresses
+// grants up to as long as a lease may be, credits, messages that come late and twice, leases and addresses
 // given away, and faults. In two of five the budgets change in service, gateway by gateway, and no process
 // restarts; in another fifth all gateways restart at once.
 struct QuotaFinding {
--- a/model/system/checks.cpp
+++ b/model/system/checks.cpp
@@ -110,7 +110,7 @@
 void Checks::Recovered() {
   for (const std::size_t pool : {kSitePool, kWidePool})
     for (std::string& line : WrongViews(*federation_, pool)) Break("after the faults " + std::move(line));
-  for (std::size_t i = 0; i < wiring_.treasurers; ++i) CheckDuty(0, kWidePool, Wiring::TreasurerOf(i));
+  for (std::size_t i = 0; i < wiring_.allocators; ++i) CheckDuty(0, kWidePool, Wiring::AllocatorOf(i));
   for (std::size_t site = 0; site < wiring_.sites.size(); ++site)
     CheckDuty(federation_->Machine(site, 0), kSitePool, Wiring::AmbassadorOf(wiring_.sites[site]));
   if (!skew_kept_) return;
--- a/model/system/quota_side.cpp
+++ b/model/system/quota_side.cpp
@@ -7,12 +7,12 @@
 namespace brackenspoke::model {
 namespace {
 
-constexpr const char *kTreasurerKey = "t", *kRequestKey = "q", *kAnswerKey = "a";
+constexpr const char *kAllocatorKey = "t", *kRequestKey = "q", *kAnswerKey = "a";
 
 quota::AccountOptions OptionsOf(const Wiring& wiring, const PoolMember& pool, const Host& host) {
   const std::string& site = wiring.sites.at(pool.options().site);
   const auto life = static_cast<std::uint64_t>(host.True().count()) + 1;
-  return {site, wiring.layout.at(site).size(), life, wiring.treasurers, wiring.timings};
+  return {site, wiring.layout.at(site).size(), life, wiring.allocators, wiring.timings};
 }
 
 }  // namespace
@@ -24,8 +24,8 @@
       wiring_(wiring),
       checks_(checks),
       account_(OptionsOf(wiring, pool, host), wiring.budgets, host.Now()) {
-  for (std::size_t i = 0; i < wiring.treasurers; ++i)
-    treasurers_.emplace_back(quota::TreasurerOptions{i, wiring.treasurers, wiring.layout, wiring.timings},
+  for (std::size_t i = 0; i < wiring.allocators; ++i)
+    allocators_.emplace_back(quota::AllocatorOptions{i, wiring.allocators, wiring.layout, wiring.timings},
                              wiring.budgets);
 }
 
@@ -38,7 +38,7 @@
 Time QuotaSide::OutUntil() const {
   const Time now = host_.Now();
   Time latest = now;
-  for (const quota::Treasurer& treasurer : treasurers_) latest = std::max(latest, treasurer.OutUntil(now));
+  for (const quota::Allocator& allocator : allocators_) latest = std::max(latest, allocator.OutUntil(now));
   return latest;
 }
 
@@ -49,40 +49,40 @@
 }
 
 void QuotaSide::Receive(const std::string& gateway, const nlohmann::json& payload) {
-  const auto treasurer = payload.at(kTreasurerKey).get<std::size_t>();
+  const auto allocator = payload.at(kAllocatorKey).get<std::size_t>();
   if (const auto request = payload.find(kRequestKey); request != payload.end())
-    TakeRequest(treasurer, gateway, *request);
+    TakeRequest(allocator, gateway, *request);
   if (const auto answer = payload.find(kAnswerKey); answer != payload.end())
-    TakeAnswer(treasurer, gateway, *answer);
+    TakeAnswer(allocator, gateway, *answer);
 }
 
-std::optional<fleet::LeaseGuard> QuotaSide::Guard(std::size_t treasurer) const {
-  return paused_ ? std::nullopt : pool_.Guard(Wiring::TreasurerOf(treasurer));
+std::optional<fleet::LeaseGuard> QuotaSide::Guard(std::size_t allocator) const {
+  return paused_ ? std::nullopt : pool_.Guard(Wiring::AllocatorOf(allocator));
 }
 
-void QuotaSide::TakeRequest(std::size_t treasurer, const std::string& gateway, const nlohmann::json& json) {
-  const auto guard = Guard(treasurer);
+void QuotaSide::TakeRequest(std::size_t allocator, const std::string& gateway, const nlohmann::json& json) {
+  const auto guard = Guard(allocator);
   if (!guard) return;
   const auto request = quota::RequestFromJson(json, gateway);
   if (!request) return;
-  quota::TreasurerActions actions;
-  treasurers_[treasurer].Receive(host_.Now(), *guard, gateway, *request, &actions);
-  Do(treasurer, actions, *guard);
+  quota::AllocatorActions actions;
+  allocators_[allocator].Receive(host_.Now(), *guard, gateway, *request, &actions);
+  Do(allocator, actions, *guard);
 }
 
-void QuotaSide::TakeAnswer(std::size_t treasurer, const std::string& gateway, const nlohmann::json& json) {
+void QuotaSide::TakeAnswer(std::size_t allocator, const std::string& gateway, const nlohmann::json& json) {
   const auto answer = quota::AnswerFromJson(json, gateway);
   if (!answer) return;
   quota::AccountActions actions;
-  account_.Receive(host_.Now(), treasurer, *answer, &actions);
+  account_.Receive(host_.Now(), allocator, *answer, &actions);
   Do(actions);
 }
 
 Time QuotaSide::Next() const {
   if (!posted_.empty()) return host_.Now();
   Time next = account_.Next();
-  for (std::size_t i = 0; i < treasurers_.size(); ++i)
-    if (Guard(i)) next = std::min(next, treasurers_[i].Next());
+  for (std::size_t i = 0; i < allocators_.size(); ++i)
+    if (Guard(i)) next = std::min(next, allocators_[i].Next());
   return next;
 }
 
@@ -92,11 +92,11 @@
   quota::AccountActions actions;
   account_.Tick(now, &actions);
   Do(actions);
-  for (std::size_t i = 0; i < treasurers_.size(); ++i) {
+  for (std::size_t i = 0; i < allocators_.size(); ++i) {
     const auto guard = Guard(i);
     if (!guard) continue;
-    quota::TreasurerActions handed_out;
-    treasurers_[i].Tick(now, *guard, &handed_out);
+    quota::AllocatorActions handed_out;
+    allocators_[i].Tick(now, *guard, &handed_out);
     Do(i, handed_out, *guard);
   }
 }
@@ -104,17 +104,17 @@
 void QuotaSide::Do(const quota::AccountActions& actions) {
   for (const quota::AccountAction& action : actions)
     if (const auto* send = std::get_if<quota::SendRequest>(&action))
-      Send(pool_.HolderOf(Wiring::TreasurerOf(send->treasurer)),
-           {{kTreasurerKey, send->treasurer}, {kRequestKey, quota::ToJson(send->request)}});
+      Send(pool_.HolderOf(Wiring::AllocatorOf(send->allocator)),
+           {{kAllocatorKey, send->allocator}, {kRequestKey, quota::ToJson(send->request)}});
 }
 
-void QuotaSide::Do(std::size_t treasurer, const quota::TreasurerActions& actions,
+void QuotaSide::Do(std::size_t allocator, const quota::AllocatorActions& actions,
                    const fleet::LeaseGuard& guard) {
-  for (const quota::TreasurerAction& action : actions) {
+  for (const quota::AllocatorAction& action : actions) {
     const auto* send = std::get_if<quota::SendAnswer>(&action);
     if (!send) continue;
     checks_.Acted(machine_, kWidePool, guard.duty(), guard.token());
-    Send(send->gateway, {{kTreasurerKey, treasurer}, {kAnswerKey, quota::ToJson(send->answer)}});
+    Send(send->gateway, {{kAllocatorKey, allocator}, {kAnswerKey, quota::ToJson(send->answer)}});
   }
 }
 
--- a/model/system/quota_side.h
+++ b/model/system/quota_side.h
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 //
-// Quotas at a gateway of the model: the real Account and Treasurers on the federation's pool, as
+// Quotas at a gateway of the model: the real Account and Allocators on the federation's pool, as
 // src/proxy/federation/quota_service.cpp has them on sockets and timers.
 #ifndef BRACKENSPOKE_MODEL_SYSTEM_QUOTA_SIDE_H_
 #define BRACKENSPOKE_MODEL_SYSTEM_QUOTA_SIDE_H_
@@ -15,7 +15,7 @@
 #include "model/system/checks.h"
 #include "model/system/wiring.h"
 #include "quota/account.h"
-#include "quota/treasurer.h"
+#include "quota/allocator.h"
 
 namespace brackenspoke::model {
 
@@ -32,19 +32,19 @@
   void Tick();
   Time Next() const;
 
-  // Hands out no draws, until Resume.
+  // Hands out no grants, until Resume.
   void Pause() { paused_ = true; }
   void Resume() { paused_ = false; }
-  // No draw that was handed out here is in force from then on.
+  // No grant that was handed out here is in force from then on.
   Time OutUntil() const;
 
  private:
-  std::optional<fleet::LeaseGuard> Guard(std::size_t treasurer) const;
+  std::optional<fleet::LeaseGuard> Guard(std::size_t allocator) const;
   void Send(const std::string& gateway, nlohmann::json payload);
-  void TakeRequest(std::size_t treasurer, const std::string& gateway, const nlohmann::json& json);
-  void TakeAnswer(std::size_t treasurer, const std::string& gateway, const nlohmann::json& json);
+  void TakeRequest(std::size_t allocator, const std::string& gateway, const nlohmann::json& json);
+  void TakeAnswer(std::size_t allocator, const std::string& gateway, const nlohmann::json& json);
   void Do(const quota::AccountActions& actions);
-  void Do(std::size_t treasurer, const quota::TreasurerActions& actions, const fleet::LeaseGuard& guard);
+  void Do(std::size_t allocator, const quota::AllocatorActions& actions, const fleet::LeaseGuard& guard);
 
   Host& host_;
   PoolMember& pool_;
@@ -52,7 +52,7 @@
   const Wiring& wiring_;
   Checks& checks_;
   quota::Account account_;
-  std::vector<quota::Treasurer> treasurers_;
+  std::vector<quota::Allocator> allocators_;
   std::deque<nlohmann::json> posted_;  // to this process itself
   bool paused_ = false;
 };
--- a/model/system/scenario.cpp
+++ b/model/system/scenario.cpp
@@ -123,8 +123,8 @@
   federation.wide.name = "sites";
   federation.wide.share_verdicts = false;
   federation.wide.most_bytes_per_second = 131072;
-  for (std::size_t i = 0; i < wiring.treasurers; ++i)
-    federation.wide_duties.push_back({Wiring::TreasurerOf(i), fleet::DutyKind::kExclusive});
+  for (std::size_t i = 0; i < wiring.allocators; ++i)
+    federation.wide_duties.push_back({Wiring::AllocatorOf(i), fleet::DutyKind::kExclusive});
   for (const std::string& site : wiring.sites)
     federation.duties.push_back({Wiring::AmbassadorOf(site), fleet::DutyKind::kExclusive});
   const double bound = std::chrono::duration<double>(wiring.timings.drift) / wiring.timings.term;
--- a/model/system/wiring.h
+++ b/model/system/wiring.h
@@ -24,12 +24,12 @@
   quota::Layout layout;
   spill::Options spill;
   quota::Timings timings;
-  std::size_t treasurers = 2;
+  std::size_t allocators = 2;
   std::shared_ptr<const quota::Budgets> budgets;
   std::vector<std::string> tenants;  // by the settings' numbers
 
   static std::string AmbassadorOf(const std::string& site) { return "ambassador/" + site; }
-  static std::string TreasurerOf(std::size_t number) { return "treasurer/" + std::to_string(number); }
+  static std::string AllocatorOf(std::size_t number) { return "treasurer/" + std::to_string(number); }
 };
 
 }  // namespace brackenspoke::model
--- a/src/proxy/config/replacement.cpp
+++ b/src/proxy/config/replacement.cpp
@@ -68,8 +68,8 @@
   if (fresh.zones != current.zones || fresh.kinds != current.kinds ||
       fresh.settings.must_ask_for_list != current.settings.must_ask_for_list)
     throw BadConfig("zones, kinds and registryMode need a new start");
-  if (fresh.quota.on != current.quota.on || fresh.quota.treasurers != current.quota.treasurers ||
-      fresh.quota.draw != current.quota.draw || fresh.quota.ask != current.quota.ask)
+  if (fresh.quota.on != current.quota.on || fresh.quota.allocators != current.quota.allocators ||
+      fresh.quota.grant_life != current.quota.grant_life || fresh.quota.ask != current.quota.ask)
     throw BadConfig("all of quota but revision and partners needs a new start");
   CheckRevision(root, fresh, current);
   Config next = current;
--- a/src/proxy/federation/federation.cpp
+++ b/src/proxy/federation/federation.cpp
@@ -47,7 +47,7 @@
   if (quota_ && !stopped_) quota_->Renew(config.quota);
 }
 
-// A lease given back while draws are out would let the next treasurer hand them out a second time.
+// A lease given back while grants are out would let the next allocator hand them out a second time.
 void Federation::LeaveWhenDone(void (fleet::Node::*leave)()) {
   leave_timer_.expires_at(quota_ ? quota_->OutUntil() : Steady::now());
   leave_timer_.async_wait([this, leave](const boost::system::error_code& cancelled) {
--- a/src/proxy/federation/quota_service.cpp
+++ b/src/proxy/federation/quota_service.cpp
@@ -17,18 +17,19 @@
 using Source = quota::PartnerAccount::Source;
 
 constexpr const char* kChannel = "quota";
-constexpr const char *kTreasurerKey = "t", *kRequestKey = "q", *kAnswerKey = "a";
+constexpr const char *kAllocatorKey = "t", *kRequestKey = "q", *kAnswerKey = "a";
 constexpr std::chrono::milliseconds kLook{50};  // for the pool's address and for leases that come
 
 double Units(Milli amount) { return static_cast<double>(amount) / static_cast<double>(kOne); }
 
+// As STATE and the log have it: they call a grant a draw.
 const char* Name(Source source) {
   switch (source) {
     case Source::kNone:
       return "none";
     case Source::kFloor:
       return "floor";
-    case Source::kDraw:
+    case Source::kGrant:
       return "draw";
   }
   return "";
@@ -42,22 +43,23 @@
 }
 
 quota::Timings TimingsOf(const fleet::SitesSection& sites, const quota::QuotaSection& section) {
-  return {section.draw, section.ask, sites.lease_term, sites.lease_drift};
+  return {section.grant_life, section.ask, sites.lease_term, sites.lease_drift};
 }
 
 quota::AccountOptions AccountOptionsOf(const fleet::SitesSection& sites, const quota::QuotaSection& section,
                                        std::uint64_t life) {
-  return {sites.site, sites.gateways.at(sites.site).size(), life, section.treasurers,
+  return {sites.site, sites.gateways.at(sites.site).size(), life, section.allocators,
           TimingsOf(sites, section)};
 }
 
 }  // namespace
 
-std::string QuotaService::DutyOf(std::size_t treasurer) { return "treasurer/" + std::to_string(treasurer); }
+// The lease's name is an interface of its own, and older than the class.
+std::string QuotaService::DutyOf(std::size_t allocator) { return "treasurer/" + std::to_string(allocator); }
 
 std::vector<std::string> QuotaService::Duties(const quota::QuotaSection& section) {
   std::vector<std::string> duties;
-  for (std::size_t i = 0; section.on && i < section.treasurers; ++i) duties.push_back(DutyOf(i));
+  for (std::size_t i = 0; section.on && i < section.allocators; ++i) duties.push_back(DutyOf(i));
   return duties;
 }
 
@@ -68,9 +70,9 @@
       options_(AccountOptionsOf(sites, section, life)),
       budgets_(std::make_shared<const quota::Budgets>(section.budgets)),
       timer_(io) {
-  for (std::size_t i = 0; i < section.treasurers; ++i)
-    treasurers_.emplace_back(
-        quota::TreasurerOptions{i, section.treasurers, LayoutOf(sites), TimingsOf(sites, section)}, budgets_);
+  for (std::size_t i = 0; i < section.allocators; ++i)
+    allocators_.emplace_back(
+        quota::AllocatorOptions{i, section.allocators, LayoutOf(sites), TimingsOf(sites, section)}, budgets_);
   pool_.Subscribe(kChannel, [this](const std::string& gateway, const nlohmann::json& payload) {
     Receive(gateway, payload);
   });
@@ -90,7 +92,7 @@
   quota::Charged charged;
   charged.verdict = quota::Verdict::kOver;
   charged.over = budget->second.over;
-  charged.retry_after = options_.timings.draw;
+  charged.retry_after = options_.timings.grant_life;
   if (account_)
     charged =
         account_->Charge(Steady::now(), partner, budget->second.unit == quota::Unit::kRequests ? 1 : work_ms);
@@ -104,7 +106,7 @@
 
 void QuotaService::Renew(const quota::QuotaSection& section) {
   budgets_ = std::make_shared<const quota::Budgets>(section.budgets);
-  for (quota::Treasurer& treasurer : treasurers_) treasurer.Renew(budgets_);
+  for (quota::Allocator& allocator : allocators_) allocator.Renew(budgets_);
   if (account_) {
     quota::AccountActions actions;
     account_->Renew(Steady::now(), budgets_, &actions);
@@ -129,20 +131,20 @@
 Steady::time_point QuotaService::OutUntil() const {
   auto latest = Steady::now();
   const auto now = latest;
-  for (const quota::Treasurer& treasurer : treasurers_) latest = std::max(latest, treasurer.OutUntil(now));
+  for (const quota::Allocator& allocator : allocators_) latest = std::max(latest, allocator.OutUntil(now));
   return latest;
 }
 
 nlohmann::json QuotaService::Ledger() const {
   auto ledgers = nlohmann::json::array();
   const auto now = Steady::now();
-  for (const quota::Treasurer& treasurer : treasurers_) ledgers.push_back(treasurer.Ledger(now));
+  for (const quota::Allocator& allocator : allocators_) ledgers.push_back(allocator.Ledger(now));
   return ledgers;
 }
 
 void QuotaService::Load(const nlohmann::json& ledger) {
-  for (std::size_t i = 0; ledger.is_array() && i < std::min(ledger.size(), treasurers_.size()); ++i)
-    if (const auto loaded = treasurers_[i].Load(Steady::now(), ledger[i]); !loaded)
+  for (std::size_t i = 0; ledger.is_array() && i < std::min(ledger.size(), allocators_.size()); ++i)
+    if (const auto loaded = allocators_[i].Load(Steady::now(), ledger[i]); !loaded)
       log::Warn("quota", loaded.error());
 }
 
@@ -157,10 +159,10 @@
 
 void QuotaService::Receive(const std::string& gateway, const nlohmann::json& payload) {
   if (stopped_ || !payload.is_object()) return;
-  const auto treasurer = payload.find(kTreasurerKey);
-  if (treasurer == payload.end() || !treasurer->is_number_unsigned()) return;
-  const auto index = treasurer->get<std::size_t>();
-  if (index >= treasurers_.size()) return;
+  const auto allocator = payload.find(kAllocatorKey);
+  if (allocator == payload.end() || !allocator->is_number_unsigned()) return;
+  const auto index = allocator->get<std::size_t>();
+  if (index >= allocators_.size()) return;
   if (const auto request = payload.find(kRequestKey); request != payload.end())
     TakeRequest(index, gateway, *request);
   if (const auto answer = payload.find(kAnswerKey); answer != payload.end())
@@ -168,37 +170,37 @@
   Arm();
 }
 
-// The right to hand out draws.
-std::optional<fleet::LeaseGuard> QuotaService::Guard(std::size_t treasurer) const {
-  return paused_ || stopped_ ? std::nullopt : pool_.Guard(DutyOf(treasurer));
+// The right to hand out grants.
+std::optional<fleet::LeaseGuard> QuotaService::Guard(std::size_t allocator) const {
+  return paused_ || stopped_ ? std::nullopt : pool_.Guard(DutyOf(allocator));
 }
 
-void QuotaService::TakeRequest(std::size_t treasurer, const std::string& gateway,
+void QuotaService::TakeRequest(std::size_t allocator, const std::string& gateway,
                                const nlohmann::json& json) {
-  const auto guard = Guard(treasurer);
+  const auto guard = Guard(allocator);
   if (!guard) return;  // another's by now: the gateway asks again
   const auto request = quota::RequestFromJson(json, gateway);
   if (!request) return log::Warn("quota", request.error());
-  quota::TreasurerActions actions;
-  treasurers_[treasurer].Receive(Steady::now(), *guard, gateway, *request, &actions);
-  Do(treasurer, actions);
+  quota::AllocatorActions actions;
+  allocators_[allocator].Receive(Steady::now(), *guard, gateway, *request, &actions);
+  Do(allocator, actions);
 }
 
-void QuotaService::TakeAnswer(std::size_t treasurer, const std::string& gateway, const nlohmann::json& json) {
+void QuotaService::TakeAnswer(std::size_t allocator, const std::string& gateway, const nlohmann::json& json) {
   const auto answer = quota::AnswerFromJson(json, gateway);
   if (!answer) return log::Warn("quota", answer.error());
   Begin();
   if (!account_) return;
   quota::AccountActions actions;
-  account_->Receive(Steady::now(), treasurer, *answer, &actions);
+  account_->Receive(Steady::now(), allocator, *answer, &actions);
   Do(actions);
 }
 
 // ---- time ---------------------------------------------------------------------------------------------
 Steady::time_point QuotaService::Next() const {
   auto next = account_ ? account_->Next() : Steady::now() + kLook;
-  for (std::size_t i = 0; i < treasurers_.size(); ++i)
-    if (Guard(i)) next = std::min(next, treasurers_[i].Next());
+  for (std::size_t i = 0; i < allocators_.size(); ++i)
+    if (Guard(i)) next = std::min(next, allocators_[i].Next());
   return next;
 }
 
@@ -221,11 +223,11 @@
     account_->Tick(Steady::now(), &actions);
     Do(actions);
   }
-  for (std::size_t i = 0; i < treasurers_.size(); ++i) {
+  for (std::size_t i = 0; i < allocators_.size(); ++i) {
     const auto guard = Guard(i);
     if (!guard) continue;
-    quota::TreasurerActions actions;
-    treasurers_[i].Tick(Steady::now(), *guard, &actions);
+    quota::AllocatorActions actions;
+    allocators_[i].Tick(Steady::now(), *guard, &actions);
     Do(i, actions);
   }
   Arm();
@@ -237,26 +239,26 @@
 }
 
 void QuotaService::Do(const quota::SendRequest& action) {
-  Send(pool_.HolderOf(DutyOf(action.treasurer)),
-       {{kTreasurerKey, action.treasurer}, {kRequestKey, quota::ToJson(action.request)}});
+  Send(pool_.HolderOf(DutyOf(action.allocator)),
+       {{kAllocatorKey, action.allocator}, {kRequestKey, quota::ToJson(action.request)}});
 }
 
 void QuotaService::Do(const quota::SourceChanged& action) {
   log::Info("quota", fmt::format("partner={} source={} per_s={:.3f} depth={:.3f} draw={}/{}", action.partner,
                                  Name(action.source), Units(action.part.rate), Units(action.part.depth),
-                                 action.draw.token, action.draw.number));
+                                 action.grant.token, action.grant.number));
 }
 
 void QuotaService::Do(const quota::Complain& action) { log::Warn("quota", action.failure); }
 
-void QuotaService::Do(std::size_t treasurer, const quota::TreasurerActions& actions) {
+void QuotaService::Do(std::size_t allocator, const quota::AllocatorActions& actions) {
   for (const auto& action : actions) {
     if (const auto* begun = std::get_if<quota::TermBegan>(&action))
-      log::Info("quota", fmt::format("duty={} token={} hands out draws", DutyOf(treasurer), begun->token));
-    else if (const auto* complaint = std::get_if<quota::TreasurerComplains>(&action))
-      log::Warn("quota", complaint->failure);
+      log::Info("quota", fmt::format("duty={} token={} hands out draws", DutyOf(allocator), begun->token));
+    else if (const auto* warning = std::get_if<quota::AllocatorWarning>(&action))
+      log::Warn("quota", warning->failure);
     else if (const auto* send = std::get_if<quota::SendAnswer>(&action))
-      Send(send->gateway, {{kTreasurerKey, treasurer}, {kAnswerKey, quota::ToJson(send->answer)}});
+      Send(send->gateway, {{kAllocatorKey, allocator}, {kAnswerKey, quota::ToJson(send->answer)}});
   }
 }
 
@@ -274,9 +276,9 @@
                       each.partner, Units(budget.rate), Units(budget.burst), Units(floor.rate),
                       Name(each.source), Units(each.in_force.rate), Units(each.demand));
     }
-  for (std::size_t i = 0; i < treasurers_.size(); ++i) {
+  for (std::size_t i = 0; i < allocators_.size(); ++i) {
     if (!Guard(i)) continue;
-    for (const auto& each : treasurers_[i].Lines(now))
+    for (const auto& each : allocators_[i].Lines(now))
       line += fmt::format(", {} {} per_s={:.3f} committed={:.3f} asking={}", DutyOf(i), each.partner,
                           Units(each.rate), Units(each.committed), each.demand.size());
   }
--- a/src/proxy/federation/quota_service.h
+++ b/src/proxy/federation/quota_service.h
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 //
-// Quotas on this gateway's sockets and clock: the account that each request is charged to, and the treasurers
+// Quotas on this gateway's sockets and clock: the account that each request is charged to, and the allocators
 // whose leases this process may hold. Decides nothing: both are in src/quota.
 #ifndef BRACKENSPOKE_PROXY_FEDERATION_QUOTA_SERVICE_H_
 #define BRACKENSPOKE_PROXY_FEDERATION_QUOTA_SERVICE_H_
@@ -18,15 +18,15 @@
 #include "federation/pool.h"
 #include "fleet/federation/section.h"
 #include "quota/account.h"
+#include "quota/allocator.h"
 #include "quota/section.h"
-#include "quota/treasurer.h"
 
 namespace brackenspoke::proxy {
 
 class QuotaService {
  public:
-  // The duty of the treasurer of that number.
-  static std::string DutyOf(std::size_t treasurer);
+  // The duty of the allocator of that number.
+  static std::string DutyOf(std::size_t allocator);
   static std::vector<std::string> Duties(const quota::QuotaSection& section);
 
   // `life` differs from that of any process of this gateway before. `pool` outlives this.
@@ -41,19 +41,19 @@
   void Credit(const quota::Ticket& ticket);
 
   void Renew(const quota::QuotaSection& section);
-  // Hands out no draws, until Resume.
+  // Hands out no grants, until Resume.
   void Pause() { paused_ = true; }
   void Resume();
-  // Admits nothing as inside from now on, and hands out no draws.
+  // Admits nothing as inside from now on, and hands out no grants.
   void Stop();
-  // No draw that this process has handed out is in force from then on; its leases must not go before.
+  // No grant that this process has handed out is in force from then on; its leases must not go before.
   Steady::time_point OutUntil() const;
 
-  // Of the treasurers, for the process's next life.
+  // Of the allocators, for the process's next life.
   nlohmann::json Ledger() const;
   void Load(const nlohmann::json& ledger);
 
-  // One line: each partner's budget, what is in force here and why, and for this process's treasuries what is
+  // One line: each partner's budget, what is in force here and why, and for this process's allocators what is
   // handed out.
   std::string Describe();
 
@@ -61,9 +61,9 @@
   void Begin();
   void Send(const std::string& gateway, nlohmann::json payload);
   void Receive(const std::string& gateway, const nlohmann::json& payload);
-  std::optional<fleet::LeaseGuard> Guard(std::size_t treasurer) const;
-  void TakeRequest(std::size_t treasurer, const std::string& gateway, const nlohmann::json& json);
-  void TakeAnswer(std::size_t treasurer, const std::string& gateway, const nlohmann::json& json);
+  std::optional<fleet::LeaseGuard> Guard(std::size_t allocator) const;
+  void TakeRequest(std::size_t allocator, const std::string& gateway, const nlohmann::json& json);
+  void TakeAnswer(std::size_t allocator, const std::string& gateway, const nlohmann::json& json);
   void Tick();
   void Arm();
   Steady::time_point Next() const;
@@ -72,14 +72,14 @@
   void Do(const quota::SendRequest& action);
   void Do(const quota::SourceChanged& action);
   void Do(const quota::Complain& action);
-  void Do(std::size_t treasurer, const quota::TreasurerActions& actions);
+  void Do(std::size_t allocator, const quota::AllocatorActions& actions);
 
   boost::asio::io_context& io_;
   Pool& pool_;
   const quota::AccountOptions options_;
   std::shared_ptr<const quota::Budgets> budgets_;
   std::optional<quota::Account> account_;  // once this process has the pool address
-  std::vector<quota::Treasurer> treasurers_;
+  std::vector<quota::Allocator> allocators_;
   boost::asio::steady_timer timer_;
   Steady::time_point armed_ = Steady::time_point::max();
   bool paused_ = false, stopped_ = false;
--- a/src/quota/account.cpp
+++ b/src/quota/account.cpp
@@ -26,7 +26,7 @@
     : options_(std::move(options)),
       budgets_(std::move(budgets)),
       begun_(now),
-      floors_from_(now + options_.timings.draw + options_.timings.drift),
+      floors_from_(now + options_.timings.grant_life + options_.timings.drift),
       next_(Time::max()) {}
 
 Account::Entry* Account::Find(std::string_view partner) {
@@ -68,7 +68,7 @@
   if (ticket.cost > 0 && found != entries_.end()) found->second.account.Credit(now, ticket.at, ticket.cost);
 }
 
-void Account::Receive(Time now, std::size_t treasurer, const Answer& answer, AccountActions* actions) {
+void Account::Receive(Time now, std::size_t allocator, const Answer& answer, AccountActions* actions) {
   if (retired_) return;
   if (answer.revision != budgets_->revision) {
     // A newer file lowers this gateway's floors before it is read here.
@@ -88,41 +88,42 @@
     }
   if (answer.life != options_.life) return;
   Request acks{options_.life, budgets_->revision, ask_, {}, {}};
-  for (const Draw& draw : answer.draws) {
-    const auto asked = asked_.find(draw.ask);
-    Entry* entry = asked == asked_.end() ? nullptr : Find(draw.partner);
+  for (const Grant& grant : answer.grants) {
+    const auto asked = asked_.find(grant.ask);
+    Entry* entry = asked == asked_.end() ? nullptr : Find(grant.partner);
     if (!entry) continue;
-    const Time until = asked->second + std::min<Span>(milliseconds(draw.life_ms), options_.timings.draw);
-    if (!entry->account.Take(now, draw, {answer.token, draw.number}, until)) continue;
+    const Time until =
+        asked->second + std::min<Span>(milliseconds(grant.life_ms), options_.timings.grant_life);
+    if (!entry->account.Take(now, grant, {answer.token, grant.number}, until)) continue;
     acks.acks.push_back(entry->account.Held(now));
-    acks.acks.back().partner = draw.partner;
-    Activate(now, draw.partner, *entry);
-    Tell(now, draw.partner, *entry, actions);
+    acks.acks.back().partner = grant.partner;
+    Activate(now, grant.partner, *entry);
+    Tell(now, grant.partner, *entry, actions);
   }
-  for (Request& request : Split(acks)) actions->push_back(SendRequest{treasurer, std::move(request)});
+  for (Request& request : Split(acks)) actions->push_back(SendRequest{allocator, std::move(request)});
 }
 
 void Account::Tell(Time now, const std::string& partner, Entry& entry, AccountActions* actions) {
   using Source = PartnerAccount::Source;
   const Source source = entry.account.SourceAt(now);
   if (source == entry.told) return;
-  if (entry.told == Source::kDraw && entry.account.Wanted(now) > 0)
-    actions->push_back(Complain{Failure(kNoTreasurer, partner)});
+  if (entry.told == Source::kGrant && entry.account.Wanted(now) > 0)
+    actions->push_back(Complain{Failure(kNoAllocator, partner)});
   entry.told = source;
   actions->push_back(
-      SourceChanged{partner, source, entry.account.InForce(now), entry.account.Held(now).draw});
+      SourceChanged{partner, source, entry.account.InForce(now), entry.account.Held(now).grant});
 }
 
 void Account::SendOut(std::vector<Request> requests, AccountActions* actions) {
-  for (std::size_t treasurer = 0; treasurer < requests.size(); ++treasurer)
-    for (Request& request : Split(requests[treasurer]))
-      actions->push_back(SendRequest{treasurer, std::move(request)});
+  for (std::size_t allocator = 0; allocator < requests.size(); ++allocator)
+    for (Request& request : Split(requests[allocator]))
+      actions->push_back(SendRequest{allocator, std::move(request)});
 }
 
 void Account::Tick(Time now, AccountActions* actions) {
   if (now < next_) return;
-  std::erase_if(asked_, [&](const auto& asked) { return now - asked.second > options_.timings.draw; });
-  std::vector<Request> requests(options_.treasurers,
+  std::erase_if(asked_, [&](const auto& asked) { return now - asked.second > options_.timings.grant_life; });
+  std::vector<Request> requests(options_.allocators,
                                 Request{options_.life, budgets_->revision, ask_ + 1, {}, {}});
   std::vector<std::pair<const std::string*, Entry*>> soon;
   const auto ask = [&](const std::string& partner, Entry& entry, Request& request) {
@@ -134,21 +135,21 @@
     Tell(now, partner, *entry, actions);
     const auto asking = retired_ ? PartnerAccount::Asking::kNo : entry->account.WantsToAsk(now);
     if (asking == PartnerAccount::Asking::kNow)
-      ask(partner, *entry, requests[TreasurerOf(partner, options_.treasurers)]);
+      ask(partner, *entry, requests[AllocatorOf(partner, options_.allocators)]);
     else if (asking == PartnerAccount::Asking::kWithOthers)
       soon.emplace_back(&partner, entry);
     entry->active = !entry->account.Idle(now);
     it = entry->active ? std::next(it) : active_.erase(it);
   }
   for (const auto& [partner, entry] : soon)
-    if (Request& request = requests[TreasurerOf(*partner, options_.treasurers)]; !request.asks.empty())
+    if (Request& request = requests[AllocatorOf(*partner, options_.allocators)]; !request.asks.empty())
       ask(*partner, *entry, request);
   const bool asks = std::any_of(requests.begin(), requests.end(),
                                 [](const Request& request) { return !request.asks.empty(); });
   if (asks) asked_.emplace(++ask_, now);
   SendOut(std::move(requests), actions);
   if (now >= greet_at_) {
-    for (std::size_t i = 0; i < options_.treasurers; ++i)
+    for (std::size_t i = 0; i < options_.allocators; ++i)
       actions->push_back(SendRequest{i, {options_.life, budgets_->revision, ask_, {}, {}}});
     greet_at_ = now + kGreeting;
   }
@@ -176,7 +177,7 @@
     const auto old = before->partners.find(partner);
     if (old == before->partners.end()) {
       // It may have been there before that, with its floor lent.
-      const Time from = now + options_.timings.draw + options_.timings.drift;
+      const Time from = now + options_.timings.grant_life + options_.timings.drift;
       entries_.emplace(partner, Entry{PartnerAccount(now, {full, full, from}, options_.timings)});
       continue;
     }
--- a/src/quota/account.h
+++ b/src/quota/account.h
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 //
 // The gateway's side of quotas: whether a request is within its partner's budget, and what is asked of the
-// treasurers. A function of its events: no clock, no socket. The design and why the sum of all gateways never
+// allocators. A function of its events: no clock, no socket. The design and why the sum of all gateways never
 // exceeds a budget are in docs/federation.md, the figures in docs/quota.md.
 #ifndef BRACKENSPOKE_QUOTA_ACCOUNT_H_
 #define BRACKENSPOKE_QUOTA_ACCOUNT_H_
@@ -25,7 +25,7 @@
   std::string site;          // of this gateway
   std::size_t gateways = 1;  // of the site, as configured
   std::uint64_t life = 0;    // of this process: differs from that of any before, not 0
-  std::size_t treasurers = 1;
+  std::size_t allocators = 1;
   Timings timings;
 };
 
@@ -48,7 +48,7 @@
 // ---- actions ------------------------------------------------------------------------------------------
 // To the holder of the duty `treasurer/N`; dropped if none is known.
 struct SendRequest {
-  std::size_t treasurer = 0;
+  std::size_t allocator = 0;
   Request request;
 };
 // Who decides over a partner here has changed; a line of the log.
@@ -56,7 +56,7 @@
   std::string partner;
   PartnerAccount::Source source = PartnerAccount::Source::kNone;
   Part part;
-  DrawId draw;  // of kDraw
+  GrantId grant;  // of kGrant
 };
 // A line of the log at level warn.
 struct Complain {
@@ -70,7 +70,7 @@
 class Account {
  public:
   // At the start of a process's life, or when it takes over the gateway's pool address from another. It has
-  // no draw, and no floor until a draw's life and the drift have passed, since a life before may have lent
+  // no grant, and no floor until a grant's life and the drift have passed, since a life before may have lent
   // it.
   Account(AccountOptions options, std::shared_ptr<const Budgets> budgets, Time now);
 
@@ -78,19 +78,19 @@
   // request, where it came in.
   Charged Charge(Time now, std::string_view partner, double units);
   // The request was refused everywhere or is proven not to have run. Puts back no more than what could have
-  // been spent had it never come (Bucket::Credit), so nothing after a draw that shrank the bucket.
+  // been spent had it never come (Bucket::Credit), so nothing after a grant that shrank the bucket.
   void Credit(Time now, const Ticket& ticket);
 
   // An answer of the holder of `treasurer/N`. Late, repeated and overtaken ones change nothing.
-  void Receive(Time now, std::size_t treasurer, const Answer& answer, AccountActions* actions);
+  void Receive(Time now, std::size_t allocator, const Answer& answer, AccountActions* actions);
   // Call it at Next() or soon after.
   void Tick(Time now, AccountActions* actions);
   Time Next() const { return next_; }
 
-  // Other budgets bind. A floor that differs is the smaller of both until a treasurer has heard from all
+  // Other budgets bind. A floor that differs is the smaller of both until an allocator has heard from all
   // gateways that they have the new ones.
   void Renew(Time now, std::shared_ptr<const Budgets> budgets, AccountActions* actions);
-  // The process gives the gateway's pool address away: it lets its draws end, and has no floor from now on.
+  // The process gives the gateway's pool address away: it lets its grants end, and has no floor from now on.
   void Retire(Time now);
 
   // For operators.
@@ -101,7 +101,7 @@
     Ack held;
     Milli demand = 0;
   };
-  std::vector<Line> Lines(Time now);  // of partners with recent traffic or a draw
+  std::vector<Line> Lines(Time now);  // of partners with recent traffic or a grant
   const Budgets& budgets() const { return *budgets_; }
   bool agreed() const { return agreed_; }
 
@@ -125,7 +125,7 @@
   std::map<std::string, Entry*> active_;
   Time next_;
   std::uint64_t ask_ = 0;                // the last one's number
-  std::map<std::uint64_t, Time> asked_;  // moments of asks whose draws may still be in force
+  std::map<std::uint64_t, Time> asked_;  // moments of asks whose grants may still be in force
   bool agreed_ = true;
   Time greet_at_ = Time::max();
   bool retired_ = false;
--- a/src/quota/budget.cpp
+++ b/src/quota/budget.cpp
@@ -22,8 +22,8 @@
   return rate * term / (term + drift);
 }
 
-std::size_t TreasurerOf(std::string_view partner, std::size_t treasurers) {
-  return XXH3_64bits(partner.data(), partner.size()) % treasurers;
+std::size_t AllocatorOf(std::string_view partner, std::size_t allocators) {
+  return XXH3_64bits(partner.data(), partner.size()) % allocators;
 }
 
 }  // namespace brackenspoke::quota
--- a/src/quota/budget.h
+++ b/src/quota/budget.h
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 //
 // What each partner may spend over all gateways of the federation, and the parts of it that need no
-// treasurer.
+// allocator.
 #ifndef BRACKENSPOKE_QUOTA_BUDGET_H_
 #define BRACKENSPOKE_QUOTA_BUDGET_H_
 
@@ -41,9 +41,9 @@
 
 // What all processes of the federation have in common, or they do not understand each other.
 struct Timings {
-  Span draw = std::chrono::milliseconds(2000);  // the longest life of a draw
+  Span grant_life = std::chrono::milliseconds(2000);  // the longest life of a grant
   Span ask = std::chrono::milliseconds(250);    // between two asks of a gateway that has less than it needs
-  Span term = std::chrono::milliseconds(3000);  // of the treasurers' leases
+  Span term = std::chrono::milliseconds(3000);  // of the allocators' leases
   Span drift = std::chrono::milliseconds(100);  // that a clock may gain or lose over a term
   // By how much two machines' clocks may differ over any span of at most a term.
   Span Apart() const { return 2 * drift; }
@@ -52,7 +52,7 @@
 // The part that goes with `rate` of `budget`: its depth is the burst's share, rounded down.
 Part PartOf(const Budget& budget, Milli rate);
 
-// The part of one gateway of `site` without a draw: the site's floor by its configured gateways, rounded
+// The part of one gateway of `site` without a grant: the site's floor by its configured gateways, rounded
 // down. Zero for a site without a floor or without gateways.
 Part FloorOf(const Budget& budget, const std::string& site, std::size_t gateways);
 
@@ -60,8 +60,8 @@
 // true time, as each clock's rate is within drift / term of true: rate x term / (term + drift), rounded down.
 Milli SlowedRate(Milli rate, const Timings& timings);
 
-// Which of `treasurers` duties the partner belongs to: XXH3 of its name, modulo. Not for 0 treasurers.
-std::size_t TreasurerOf(std::string_view partner, std::size_t treasurers);
+// Which of `allocators` duties the partner belongs to: XXH3 of its name, modulo. Not for 0 allocators.
+std::size_t AllocatorOf(std::string_view partner, std::size_t allocators);
 
 }  // namespace brackenspoke::quota
 
--- a/src/quota/commitments.cpp
+++ b/src/quota/commitments.cpp
@@ -5,53 +5,53 @@
 
 namespace brackenspoke::quota {
 
-void Commitments::Add(GatewayId gateway, const Outstanding& draw) { held_[gateway].draws.push_back(draw); }
+void Commitments::Add(GatewayId gateway, const Outstanding& grant) { held_[gateway].grants.push_back(grant); }
 
-void Commitments::Acknowledge(GatewayId gateway, std::uint64_t life, const DrawId& id, Span away) {
+void Commitments::Acknowledge(GatewayId gateway, std::uint64_t life, const GrantId& id, Span away) {
   const auto found = held_.find(gateway);
   if (found == held_.end()) return;
-  auto& [draws, lent_until] = found->second;
-  const auto taken = std::find_if(draws.begin(), draws.end(), [&](const Outstanding& draw) {
-    return draw.life == life && draw.id == id;
+  auto& [grants, lent_until] = found->second;
+  const auto taken = std::find_if(grants.begin(), grants.end(), [&](const Outstanding& grant) {
+    return grant.life == life && grant.id == id;
   });
-  if (taken == draws.end()) return;
+  if (taken == grants.end()) return;
   lent_until = std::max(lent_until, taken->sent + away - apart_);
-  std::erase_if(draws, [&](const Outstanding& draw) { return draw.life == life && draw.id < id; });
+  std::erase_if(grants, [&](const Outstanding& grant) { return grant.life == life && grant.id < id; });
 }
 
 void Commitments::Prune(Time now) {
   for (auto it = held_.begin(); it != held_.end();) {
-    std::erase_if(it->second.draws, [&](const Outstanding& draw) { return draw.until <= now; });
-    const bool over = it->second.draws.empty() && it->second.lent_until <= now;
+    std::erase_if(it->second.grants, [&](const Outstanding& grant) { return grant.until <= now; });
+    const bool over = it->second.grants.empty() && it->second.lent_until <= now;
     it = over ? held_.erase(it) : std::next(it);
   }
 }
 
-// One life of the gateway has one draw at a time, or its floor; two lives may have a draw each. Without those
-// of the life `but`.
-Part Commitments::Drawn(const Held& held, Time begin, const std::uint64_t* but) {
+// One life of the gateway has one grant at a time, or its floor; two lives may have a grant each. Without
+// those of the life `but`.
+Part Commitments::Granted(const Held& held, Time begin, const std::uint64_t* but) {
   Part sum;
-  for (std::size_t i = 0; i < held.draws.size(); ++i) {
-    const std::uint64_t life = held.draws[i].life;
-    const auto same = [&](const Outstanding& draw) { return draw.life == life; };
-    const auto first = held.draws.begin() + static_cast<std::ptrdiff_t>(i);
-    if ((but && life == *but) || std::any_of(held.draws.begin(), first, same)) continue;
+  for (std::size_t i = 0; i < held.grants.size(); ++i) {
+    const std::uint64_t life = held.grants[i].life;
+    const auto same = [&](const Outstanding& grant) { return grant.life == life; };
+    const auto first = held.grants.begin() + static_cast<std::ptrdiff_t>(i);
+    if ((but && life == *but) || std::any_of(held.grants.begin(), first, same)) continue;
     Part part;
-    for (auto draw = first; draw != held.draws.end(); ++draw)
-      if (same(*draw) && draw->until > begin) part = Larger(part, draw->part);
+    for (auto grant = first; grant != held.grants.end(); ++grant)
+      if (same(*grant) && grant->until > begin) part = Larger(part, grant->part);
     sum = sum + part;
   }
   return sum;
 }
 
 Part Commitments::In(const Held& held, Time begin, const Part& floor) const {
-  const Part drawn = Drawn(held, begin, nullptr);
-  return held.lent_until >= begin + slot_ ? drawn : Larger(drawn, floor);
+  const Part granted = Granted(held, begin, nullptr);
+  return held.lent_until >= begin + slot_ ? granted : Larger(granted, floor);
 }
 
 Part Commitments::Others(GatewayId gateway, Time at, std::uint64_t life) const {
   const auto found = held_.find(gateway);
-  return found == held_.end() ? Part{} : Drawn(found->second, SlotBegin(at), &life);
+  return found == held_.end() ? Part{} : Granted(found->second, SlotBegin(at), &life);
 }
 
 Part Commitments::At(GatewayId gateway, Time at, const Part& floor) const {
@@ -68,21 +68,21 @@
   const auto found = held_.find(gateway);
   const Outstanding* newest = nullptr;
   if (found != held_.end())
-    for (const Outstanding& draw : found->second.draws)
-      if (draw.life == life && (!newest || draw.id > newest->id)) newest = &draw;
+    for (const Outstanding& grant : found->second.grants)
+      if (grant.life == life && (!newest || grant.id > newest->id)) newest = &grant;
   return newest;
 }
 
 Time Commitments::LastEnd(Time now) const {
   for (const auto& [gateway, held] : held_)
-    for (const Outstanding& draw : held.draws) now = std::max(now, draw.until);
+    for (const Outstanding& grant : held.grants) now = std::max(now, grant.until);
   return now;
 }
 
 Time Commitments::Change(const Held& held, Time begin) const {
   Time change = held.lent_until >= begin + slot_ ? held.lent_until - slot_ + Span(1) : Time::max();
-  for (const Outstanding& draw : held.draws)
-    if (draw.until > begin) change = std::min(change, draw.until);
+  for (const Outstanding& grant : held.grants)
+    if (grant.until > begin) change = std::min(change, grant.until);
   return change;
 }
 
--- a/src/quota/commitments.h
+++ b/src/quota/commitments.h
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 //
-// What each gateway may have in force of one budget, now and until the last draw that is out has ended, and
+// What each gateway may have in force of one budget, now and until the last grant that is out has ended, and
 // so how much more can be handed out. Nothing is counted as back before it is sure to be.
 #ifndef BRACKENSPOKE_QUOTA_COMMITMENTS_H_
 #define BRACKENSPOKE_QUOTA_COMMITMENTS_H_
@@ -15,24 +15,24 @@
 
 namespace brackenspoke::quota {
 
-// A draw that may be in force at its gateway.
+// A grant that may be in force at its gateway.
 struct Outstanding {
   std::uint64_t life = 0;  // of the gateway's process
-  DrawId id;
+  GrantId id;
   Part part;
   Time sent;   // or a moment before
   Time until;  // by when it has ended for certain
 };
 
-// All moments are of the treasurer's clock; `apart`: by how much another's may differ over a draw's life.
+// All moments are of the allocator's clock; `apart`: by how much another's may differ over a grant's life.
 class Commitments {
  public:
   Commitments(Span slot, Span apart) : slot_(slot), apart_(apart) {}
 
-  void Add(GatewayId gateway, const Outstanding& draw);
-  // The gateway has taken the draw: those before it of the same life are over, and its floor is away for
-  // `away` from then, which was after the draw was sent. Unknown draws change nothing.
-  void Acknowledge(GatewayId gateway, std::uint64_t life, const DrawId& id, Span away);
+  void Add(GatewayId gateway, const Outstanding& grant);
+  // The gateway has taken the grant: those before it of the same life are over, and its floor is away for
+  // `away` from then, which was after the grant was sent. Unknown grants change nothing.
+  void Acknowledge(GatewayId gateway, std::uint64_t life, const GrantId& id, Span away);
   // Forgets what has ended.
   void Prune(Time now);
 
@@ -41,9 +41,9 @@
   // The same of its processes other than this life.
   Part Others(GatewayId gateway, Time at, std::uint64_t life) const;
   Time lent_until(GatewayId gateway) const;
-  // The newest draw to this life that has not ended; null: none.
+  // The newest grant to this life that has not ended; null: none.
   const Outstanding* Newest(GatewayId gateway, std::uint64_t life) const;
-  // By when all draws have ended; `now` if there are none.
+  // By when all grants have ended; `now` if there are none.
   Time LastEnd(Time now) const;
 
   // The sums of At over all gateways in each slot that begins before `end`, from the one of `now` on.
@@ -55,10 +55,10 @@
 
  private:
   struct Held {
-    std::vector<Outstanding> draws;
+    std::vector<Outstanding> grants;
     Time lent_until = Time::min();
   };
-  static Part Drawn(const Held& held, Time begin, const std::uint64_t* but);
+  static Part Granted(const Held& held, Time begin, const std::uint64_t* but);
   Part In(const Held& held, Time begin, const Part& floor) const;
   // In has the same value for all slots that begin from `begin` to before this.
   Time Change(const Held& held, Time begin) const;
--- a/src/quota/failures.h
+++ b/src/quota/failures.h
@@ -18,7 +18,7 @@
 inline constexpr FailureKind kBadLedger{
     "QUOTA-3", "the treasurer's ledger cannot be read and is ignored",
     "nothing needs doing, as demand is learnt anew from the gateways' asks within a second"};
-inline constexpr FailureKind kNoTreasurer{
+inline constexpr FailureKind kNoAllocator{
     "QUOTA-4", "no treasurer answers, and the gateway is down to its floors",
     "see by LEASES who holds the duty, and whether a majority of sites.voters can be reached"};
 inline constexpr FailureKind kUnknownGateway{"QUOTA-5",
@@ -26,7 +26,7 @@
                                              "list it under sites.gateways of all gateways, or stop it"};
 
 // All of them, for docs/errors.md.
-inline constexpr std::array kFailures{&kBadMessage, &kOtherRevision, &kBadLedger, &kNoTreasurer,
+inline constexpr std::array kFailures{&kBadMessage, &kOtherRevision, &kBadLedger, &kNoAllocator,
                                       &kUnknownGateway};
 
 }  // namespace brackenspoke::quota
--- a/src/quota/floors.h
+++ b/src/quota/floors.h
@@ -43,7 +43,7 @@
   std::size_t count = 0;                               // of those heard
   Time complete = Time::min();                         // since when all are
 
-  // A floor that grew may be had: all have told since `wait` ago, so that draws by files of before are over.
+  // A floor that grew may be had: all have told since `wait` ago, so that grants by files of before are over.
   bool Agreed(Time now, Span wait) const { return count == heard.size() && now - wait >= complete; }
   void Hear(Time now, GatewayId gateway, bool present_one);
   void Renew(std::shared_ptr<const Budgets> budgets);
--- a/src/quota/messages.cpp
+++ b/src/quota/messages.cpp
@@ -16,20 +16,20 @@
 
 json EntryOf(const Ask& ask) {
   return {ask.held.partner,
-          ask.held.draw.token,
-          ask.held.draw.number,
+          ask.held.grant.token,
+          ask.held.grant.number,
           ask.held.away_ms,
           static_cast<std::uint64_t>(ask.demand),
           static_cast<std::uint64_t>(ask.least)};
 }
-json EntryOf(const Ack& ack) { return {ack.partner, ack.draw.token, ack.draw.number, ack.away_ms}; }
-json EntryOf(const Draw& draw) {
-  return {draw.partner,
-          draw.ask,
-          draw.number,
-          static_cast<std::uint64_t>(draw.part.rate),
-          static_cast<std::uint64_t>(draw.part.depth),
-          draw.life_ms};
+json EntryOf(const Ack& ack) { return {ack.partner, ack.grant.token, ack.grant.number, ack.away_ms}; }
+json EntryOf(const Grant& grant) {
+  return {grant.partner,
+          grant.ask,
+          grant.number,
+          static_cast<std::uint64_t>(grant.part.rate),
+          static_cast<std::uint64_t>(grant.part.depth),
+          grant.life_ms};
 }
 json EntryOf(const Floor& floor) {
   return {floor.partner, static_cast<std::uint64_t>(floor.part.rate),
@@ -94,7 +94,7 @@
   return ask;
 }
 
-Draw DrawIn(const json& value) {
+Grant GrantIn(const json& value) {
   EntryIn(value, 6);
   return {NameIn(value[0]),
           FigureIn(value[1]),
@@ -158,8 +158,8 @@
 }
 
 json ToJson(const Answer& answer) {
-  return {{"l", answer.life},          {"r", answer.revision},      {"t", answer.token},
-          {"g", answer.agreed},        {"d", ListOf(answer.draws)}, {"c", ListOf(answer.calls)},
+  return {{"l", answer.life},          {"r", answer.revision},       {"t", answer.token},
+          {"g", answer.agreed},        {"d", ListOf(answer.grants)}, {"c", ListOf(answer.calls)},
           {"f", ListOf(answer.floors)}};
 }
 
@@ -182,7 +182,7 @@
     answer.revision = FigureIn(root.at("r"));
     answer.token = FigureIn(root.at("t"));
     answer.agreed = root.at("g").get<bool>();
-    answer.draws = ListIn<Draw>(root, "d", DrawIn);
+    answer.grants = ListIn<Grant>(root, "d", GrantIn);
     answer.calls = ListIn<std::string>(root, "c", NameIn);
     answer.floors = ListIn<Floor>(root, "f", FloorIn);
     return answer;
@@ -198,7 +198,7 @@
 
 std::vector<Answer> Split(const Answer& answer) {
   Packer<Answer> packer({answer.life, answer.revision, answer.token, answer.agreed, {}, {}, {}});
-  packer.Add(answer.draws, &Answer::draws);
+  packer.Add(answer.grants, &Answer::grants);
   packer.Add(answer.calls, &Answer::calls);
   packer.Add(answer.floors, &Answer::floors);
   return packer.Done();
--- a/src/quota/messages.h
+++ b/src/quota/messages.h
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 //
-// What gateways and treasurers say to each other, on the channel `quota` of the federation pool. One datagram
+// What gateways and allocators say to each other, on the channel `quota` of the federation pool. One datagram
 // carries what there is for many partners. Each message may be lost, repeated, late or out of order.
 #ifndef BRACKENSPOKE_QUOTA_MESSAGES_H_
 #define BRACKENSPOKE_QUOTA_MESSAGES_H_
@@ -16,59 +16,59 @@
 
 namespace brackenspoke::quota {
 
-// Orders all draws of a duty: the treasurer's fencing token, and its count of draws.
-struct DrawId {
+// Orders all grants of a duty: the allocator's fencing token, and its count of grants.
+struct GrantId {
   std::uint64_t token = 0;
   std::uint64_t number = 0;
-  auto operator<=>(const DrawId&) const = default;
+  auto operator<=>(const GrantId&) const = default;
 };
 
-// A gateway has taken this draw in place of all before it, and keeps its floor put away for `away_ms` from
+// A gateway has taken this grant in place of all before it, and keeps its floor put away for `away_ms` from
 // when it says so, by its own clock.
 struct Ack {
   std::string partner;
-  DrawId draw;
+  GrantId grant;
   std::uint64_t away_ms = 0;
 };
 
-// A gateway asks for a draw, and tells the draw that it has; `held.draw` is zero if it has none.
+// A gateway asks for a grant, and tells the grant that it has; `held.grant` is zero if it has none.
 struct Ask {
   Ack held;          // its partner is the ask's
   Milli demand = 0;  // a second
-  Milli least = 0;   // depth under which a draw is of no use: the largest cost met lately
+  Milli least = 0;   // depth under which a grant is of no use: the largest cost met lately
 };
 
-// A treasurer hands out a part for `life_ms` from the moment of the ask `ask`.
-struct Draw {
+// An allocator hands out a part for `life_ms` from the moment of the ask `ask`.
+struct Grant {
   std::string partner;
   std::uint64_t ask = 0;
-  std::uint64_t number = 0;  // with the message's token: which draw this is
+  std::uint64_t number = 0;  // with the message's token: which grant this is
   Part part;
   std::uint64_t life_ms = 0;
 };
 
-// What the treasurer's budgets have as the gateway's floor.
+// What the allocator's budgets have as the gateway's floor.
 struct Floor {
   std::string partner;
   Part part;
 };
 
-// From a gateway to a treasurer.
+// From a gateway to an allocator.
 struct Request {
-  std::uint64_t life = 0;      // of the process: another one's draws are not its own
+  std::uint64_t life = 0;      // of the process: another one's grants are not its own
   std::uint64_t revision = 0;  // of its budgets
-  std::uint64_t ask = 0;       // counts this life's requests; draws name it
+  std::uint64_t ask = 0;       // counts this life's requests; grants name it
   std::vector<Ask> asks;
   std::vector<Ack> acks;
 };
 
-// From a treasurer to a gateway.
+// From an allocator to a gateway.
 struct Answer {
   std::uint64_t life = 0;  // of the request; of calls alone 0
   std::uint64_t revision = 0;
   std::uint64_t token = 0;
-  bool agreed = false;             // all gateways have the revision, and no draw of before is left
-  std::vector<Draw> draws;         // none where the revisions differ
+  bool agreed = false;             // all gateways have the revision, and no grant of before is left
+  std::vector<Grant> grants;       // none where the revisions differ
   std::vector<std::string> calls;  // partners whose floor here is wanted elsewhere: the gateway is to ask
   std::vector<Floor> floors;       // where the revisions differ
 };
--- a/src/quota/partner_account.cpp
+++ b/src/quota/partner_account.cpp
@@ -11,14 +11,14 @@
 }
 
 PartnerAccount::Source PartnerAccount::SourceAt(Time now) const {
-  if (now < draw_until_) return Source::kDraw;
+  if (now < grant_until_) return Source::kGrant;
   return now >= floor_.from && floor_.part.rate > 0 ? Source::kFloor : Source::kNone;
 }
 
 Part PartnerAccount::InForce(Time now) const {
   switch (SourceAt(now)) {
-    case Source::kDraw:
-      return draw_;
+    case Source::kGrant:
+      return grant_;
     case Source::kFloor:
       return floor_.part;
     case Source::kNone:
@@ -33,7 +33,7 @@
 }
 
 void PartnerAccount::Settle(Time now) {
-  const auto [first, second] = std::minmax(draw_until_, floor_.from);
+  const auto [first, second] = std::minmax(grant_until_, floor_.from);
   for (const Time change : {first, second})
     if (change > bucket_.last() && change <= now) Follow(change);
 }
@@ -58,12 +58,12 @@
   return floor_.from - now + std::chrono::nanoseconds(cost * 1'000'000 / rate * 1'000);
 }
 
-bool PartnerAccount::Take(Time now, const Draw& draw, const DrawId& id, Time until) {
+bool PartnerAccount::Take(Time now, const Grant& grant, const GrantId& id, Time until) {
   if (id <= id_ || until <= now) return false;
   Settle(now);
-  draw_ = draw.part;
+  grant_ = grant.part;
   id_ = id;
-  draw_until_ = until;
+  grant_until_ = until;
   answered_ = true;
   PutFloorAway(until);
   Follow(now);
@@ -71,8 +71,8 @@
 }
 
 Ack PartnerAccount::Held(Time now) const {
-  if (now >= draw_until_) return {};
-  const auto left = std::chrono::floor<std::chrono::milliseconds>(draw_until_ - now);
+  if (now >= grant_until_) return {};
+  const auto left = std::chrono::floor<std::chrono::milliseconds>(grant_until_ - now);
   return {"", id_, static_cast<std::uint64_t>(left.count())};
 }
 
@@ -86,19 +86,19 @@
 PartnerAccount::Asking PartnerAccount::WantsToAsk(Time now) {
   if (called_) return Asking::kNow;
   // Before the first ask the bounds are far enough apart for their difference to overflow.
-  const Span since = asked_at_ == Time::min() ? timings_->draw : now - asked_at_;
+  const Span since = asked_at_ == Time::min() ? timings_->grant_life : now - asked_at_;
   if (since < Demand::kBin) return Asking::kNo;
   const Milli demand = demand_.Estimate(now);
   const Milli slack = asked_for_ / 4 + 2 * demand_.Largest(now);
-  const bool drawn = now < draw_until_;
-  if (drawn && (std::abs(demand - asked_for_) > slack || (demand == 0) != (asked_for_ == 0)))
+  const bool granted = now < grant_until_;
+  if (granted && (std::abs(demand - asked_for_) > slack || (demand == 0) != (asked_for_ == 0)))
     return Asking::kNow;
   if (demand == 0 || since < timings_->ask) return Asking::kNo;
-  if (InForce(now).rate < demand && !(drawn && answered_)) return Asking::kNow;
-  if (!drawn) return Asking::kNo;
-  const Span left = draw_until_ - now;
-  if (left < timings_->draw * 5 / 8) return Asking::kNow;
-  return left < timings_->draw * 7 / 8 ? Asking::kWithOthers : Asking::kNo;
+  if (InForce(now).rate < demand && !(granted && answered_)) return Asking::kNow;
+  if (!granted) return Asking::kNo;
+  const Span left = grant_until_ - now;
+  if (left < timings_->grant_life * 5 / 8) return Asking::kNow;
+  return left < timings_->grant_life * 7 / 8 ? Asking::kWithOthers : Asking::kNo;
 }
 
 Ask PartnerAccount::MakeAsk(Time now) {
@@ -108,6 +108,6 @@
   return {Held(now), std::min(asked_for_, kMostRate), std::min(demand_.Largest(now), kMostBurst)};
 }
 
-bool PartnerAccount::Idle(Time now) { return !called_ && now >= draw_until_ && demand_.Estimate(now) == 0; }
+bool PartnerAccount::Idle(Time now) { return !called_ && now >= grant_until_ && demand_.Estimate(now) == 0; }
 
 }  // namespace brackenspoke::quota
--- a/src/quota/partner_treasury.cpp
+++ b/src/quota/partner_allocator.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "quota/partner_treasury.h"
+#include "quota/partner_allocator.h"
 
 #include <algorithm>
 
@@ -8,7 +8,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr int kSlots = 16;  // of a draw's life
+constexpr int kSlots = 16;  // of a grant's life
 // Between two handings out at least: the first, and more for each that asks, as each costs time for all.
 constexpr Span kPause = milliseconds(10), kPauseEach = std::chrono::microseconds(50);
 
@@ -26,19 +26,18 @@
 
 }  // namespace
 
-PartnerTreasury::PartnerTreasury(const Timings& timings)
-    : timings_(&timings), commitments_(timings.draw / kSlots, timings.Apart()) {}
+PartnerAllocator::PartnerAllocator(const Timings& timings)
+    : timings_(&timings), commitments_(timings.grant_life / kSlots, timings.Apart()) {}
 
-void PartnerTreasury::Schedule(Time now) {
-  const Time least =
-      handed_out_ == Time::min()
-          ? now
-          : std::max(now, handed_out_ + kPause + static_cast<int>(askers_.size()) * kPauseEach);
+void PartnerAllocator::Schedule(Time now) {
+  const Time least = issued_at_ == Time::min()
+                         ? now
+                         : std::max(now, issued_at_ + kPause + static_cast<int>(askers_.size()) * kPauseEach);
   due_ = std::min(due_, least);
 }
 
-void PartnerTreasury::OnAsk(Time now, GatewayId gateway, std::uint64_t life, std::uint64_t number,
-                            const Ask& ask) {
+void PartnerAllocator::OnAsk(Time now, GatewayId gateway, std::uint64_t life, std::uint64_t number,
+                             const Ask& ask) {
   Asker& asker = askers_[gateway];
   if (asker.life == life && number <= asker.number) return;
   asker.life = life;
@@ -51,25 +50,25 @@
   Schedule(now);
 }
 
-void PartnerTreasury::OnAck(Time now, GatewayId gateway, std::uint64_t life, const Ack& ack) {
-  commitments_.Acknowledge(gateway, life, ack.draw, milliseconds(ack.away_ms));
+void PartnerAllocator::OnAck(Time now, GatewayId gateway, std::uint64_t life, const Ack& ack) {
+  commitments_.Acknowledge(gateway, life, ack.grant, milliseconds(ack.away_ms));
   if (waits_) Schedule(now);
 }
 
-void PartnerTreasury::Expect(Time now, GatewayId gateway, Milli demand) {
+void PartnerAllocator::Expect(Time now, GatewayId gateway, Milli demand) {
   if (!askers_.contains(gateway)) expected_[gateway] = {demand, now + 2 * timings_->ask};
 }
 
-std::map<GatewayId, Milli> PartnerTreasury::Demand(Time now) const {
+std::map<GatewayId, Milli> PartnerAllocator::Demand(Time now) const {
   std::map<GatewayId, Milli> demand;
   for (const auto& [gateway, asker] : askers_)
-    if (asker.demand > 0 && now - asker.at < timings_->draw) demand[gateway] = asker.demand;
+    if (asker.demand > 0 && now - asker.at < timings_->grant_life) demand[gateway] = asker.demand;
   return demand;
 }
 
-// Divides what neither floors nor draws of those that do not ask take now. While there is enough for all,
+// Divides what neither floors nor grants of those that do not ask take now. While there is enough for all,
 // each keeps its floor.
-void PartnerTreasury::Target(Time now, const Budget& budget, const Floors& floors) {
+void PartnerAllocator::Target(Time now, const Budget& budget, const Floors& floors) {
   std::vector<GatewayId> who;
   std::vector<Claim> claims;
   Milli capacity = budget.rate - commitments_.Sums(now, now + Span(1), floors).front().rate;
@@ -93,15 +92,15 @@
     targets_[who[i]] = parts[i];
     const auto asker = askers_.find(who[i]);
     const bool turn = asker != askers_.end() && parts[i] > 0 && parts[i] <= claims[i].least;
-    if (turn && asker->second.turn_until <= now) asker->second.turn_until = now + timings_->draw;
+    if (turn && asker->second.turn_until <= now) asker->second.turn_until = now + timings_->grant_life;
   }
 }
 
-std::pair<Part, Time> PartnerTreasury::Fit(Time now, Time most, GatewayId gateway, std::uint64_t life,
-                                           Milli rate, const Budget& budget, const Part& floor,
-                                           const std::vector<Part>& sums) const {
+std::pair<Part, Time> PartnerAllocator::Fit(Time now, Time most, GatewayId gateway, std::uint64_t life,
+                                            Milli rate, const Budget& budget, const Part& floor,
+                                            const std::vector<Part>& sums) const {
   // A quarter of a life is enough to renew in; beyond it, as far as the rate holds.
-  const Time enough = std::min(most, now + timings_->draw / 4);
+  const Time enough = std::min(most, now + timings_->grant_life / 4);
   Time begin = commitments_.SlotBegin(now);
   for (const Part& sum : sums) {
     if (begin >= most) break;
@@ -115,12 +114,12 @@
   return {PartOf(budget, rate), most};
 }
 
-Milli PartnerTreasury::Has(GatewayId gateway, const Asker& asker) const {
+Milli PartnerAllocator::Has(GatewayId gateway, const Asker& asker) const {
   const Outstanding* newest = commitments_.Newest(gateway, asker.life);
   return newest ? newest->part.rate : 0;
 }
 
-std::vector<GatewayId> PartnerTreasury::Due() const {
+std::vector<GatewayId> PartnerAllocator::Due() const {
   // Differences of a sixteenth are left until the next ask.
   const auto less = [](Milli a, Milli b) { return a + b / 16 + 1 < b; };
   bool lacking = short_;
@@ -138,13 +137,13 @@
   return gateways;
 }
 
-void PartnerTreasury::Add(Time now, GatewayId gateway, const Outstanding& draw, const Part& floor,
-                          std::vector<Part>* sums) {
+void PartnerAllocator::Add(Time now, GatewayId gateway, const Outstanding& grant, const Part& floor,
+                           std::vector<Part>* sums) {
   Time begin = commitments_.SlotBegin(now);
   std::vector<Part> before;
   for (std::size_t i = 0; i < sums->size(); ++i)
     before.push_back(commitments_.At(gateway, begin + static_cast<int>(i) * commitments_.slot(), floor));
-  commitments_.Add(gateway, draw);
+  commitments_.Add(gateway, grant);
   for (Part& sum : *sums) {
     sum =
         sum + commitments_.At(gateway, begin, floor) - before[static_cast<std::size_t>(&sum - sums->data())];
@@ -152,21 +151,21 @@
   }
 }
 
-std::vector<Handed> PartnerTreasury::HandOut(Time now, Time deadline, const Budget& budget,
-                                             const Floors& floors, DrawId* last) {
+std::vector<IssuedGrant> PartnerAllocator::IssueGrants(Time now, Time deadline, const Budget& budget,
+                                                       const Floors& floors, GrantId* last) {
   commitments_.Prune(now);
-  std::erase_if(askers_, [&](const auto& entry) { return now - entry.second.at >= timings_->draw; });
+  std::erase_if(askers_, [&](const auto& entry) { return now - entry.second.at >= timings_->grant_life; });
   std::erase_if(expected_, [&](const auto& entry) { return entry.second.second <= now; });
-  handed_out_ = now;
+  issued_at_ = now;
   waits_ = false;
   Target(now, budget, floors);
-  std::vector<Part> sums = commitments_.Sums(now, now + timings_->draw + timings_->Apart(), floors);
-  std::vector<Handed> handed;
+  std::vector<Part> sums = commitments_.Sums(now, now + timings_->grant_life + timings_->Apart(), floors);
+  std::vector<IssuedGrant> issued;
   for (const GatewayId gateway : Due()) {
     Asker& asker = askers_[gateway];
     const Part floor = floors.Of(gateway);
     const Milli target = targets_[gateway];
-    const auto [part, end] = Fit(now, std::min(asker.at + timings_->draw + timings_->Apart(), deadline),
+    const auto [part, end] = Fit(now, std::min(asker.at + timings_->grant_life + timings_->Apart(), deadline),
                                  gateway, asker.life, target, budget, floor, sums);
     waits_ = waits_ || part.rate < target;
     if (part.rate < std::min(target, RateFor(budget, std::max(asker.least, kOne)))) continue;
@@ -178,20 +177,21 @@
     ++last->number;
     Add(now, gateway, {asker.life, *last, part, now, until}, floor, &sums);
     asker.answered = true;
-    handed.push_back({gateway,
+    issued.push_back({gateway,
                       asker.life,
                       {"", asker.number, last->number, part, static_cast<std::uint64_t>(life.count())}});
   }
   // Short of budget, turns end, floors are to be called, and what others do not renew comes back.
   due_ = waits_ ? now + commitments_.slot() : short_ ? now + timings_->ask : Time::max();
-  return handed;
+  return issued;
 }
 
-std::vector<GatewayId> PartnerTreasury::Calls(Time now, const Gateways& gateways, const Floors& floors) {
+std::vector<GatewayId> PartnerAllocator::Calls(Time now, const Gateways& gateways, const Floors& floors) {
   std::vector<GatewayId> calls;
   if (!short_ || floors.total().rate == 0) return calls;
   for (GatewayId gateway = 0; gateway < gateways.size(); ++gateway) {
-    if (floors.Of(gateway).rate == 0 || commitments_.lent_until(gateway) > now + timings_->draw / 2) continue;
+    if (floors.Of(gateway).rate == 0 || commitments_.lent_until(gateway) > now + timings_->grant_life / 2)
+      continue;
     const auto asker = askers_.find(gateway);
     if (asker != askers_.end() && now - asker->second.at < timings_->ask) continue;
     const auto called = called_.find(gateway);
--- a/src/quota/partner_treasury.h
+++ b/src/quota/partner_allocator.h
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 //
-// One partner's budget at its treasurer: who wants how much of it, and which draws to hand out.
-#ifndef BRACKENSPOKE_QUOTA_PARTNER_TREASURY_H_
-#define BRACKENSPOKE_QUOTA_PARTNER_TREASURY_H_
+// One partner's budget at its allocator: the gateways' demand, and which grants to issue.
+#ifndef BRACKENSPOKE_QUOTA_PARTNER_ALLOCATOR_H_
+#define BRACKENSPOKE_QUOTA_PARTNER_ALLOCATOR_H_
 
 #include <map>
 #include <vector>
@@ -13,35 +13,38 @@
 
 namespace brackenspoke::quota {
 
-// One handing out.
-struct Handed {
+// A grant, and the process that it is for.
+struct IssuedGrant {
   GatewayId gateway = 0;
-  std::uint64_t life = 0;
-  Draw draw;  // without the partner's name
+  std::uint64_t life = 0;  // of the gateway's process
+  Grant grant;             // without the partner's name
 };
 
-// All moments are of the treasurer's clock.
-class PartnerTreasury {
+// Divides one budget. All times are of the allocator's monotonic clock.
+class PartnerAllocator {
  public:
-  explicit PartnerTreasury(const Timings& timings);
+  explicit PartnerAllocator(const Timings& timings);
 
+  // A gateway's process asks for a grant in its request `number`.
   void OnAsk(Time now, GatewayId gateway, std::uint64_t life, std::uint64_t number, const Ask& ask);
+  // A gateway's process has put a grant in force.
   void OnAck(Time now, GatewayId gateway, std::uint64_t life, const Ack& ack);
-  // The demand of a gateway by a ledger, until it asks itself.
+  // The demand of a gateway according to a ledger, which counts until the gateway asks.
   void Expect(Time now, GatewayId gateway, Milli demand);
 
-  // What to hand out now: an answer to each ask that has none, and another draw where an answered one is more
-  // than the gateway's part while others lack some, or less. None lasts beyond `deadline`. `last` is the id
-  // of the last draw.
-  std::vector<Handed> HandOut(Time now, Time deadline, const Budget& budget, const Floors& floors,
-                              DrawId* last);
-  // Gateways whose floor is wanted elsewhere and not lent for long. To be asked for after HandOut.
+  // The grants to issue now: one for each unanswered ask, and another one where a gateway's grant is less
+  // than its part, or more than it while others lack some. None lasts beyond `deadline`. `last` is the id of
+  // the last grant that was issued, and is advanced.
+  std::vector<IssuedGrant> IssueGrants(Time now, Time deadline, const Budget& budget, const Floors& floors,
+                                       GrantId* last);
+  // Gateways that should ask, because their floor is wanted elsewhere and not lent for long. Call it after
+  // IssueGrants.
   std::vector<GatewayId> Calls(Time now, const Gateways& gateways, const Floors& floors);
-  // When to hand out again though nothing came in; Time::max(): never.
+  // When to issue grants again without an event; Time::max(): never.
   Time due() const { return due_; }
 
   const Commitments& commitments() const { return commitments_; }
-  // Of those that asked lately.
+  // The demand of the gateways that asked recently.
   std::map<GatewayId, Milli> Demand(Time now) const;
 
  private:
@@ -56,10 +59,10 @@
   // The part and the end that fit beside what all others may have by `sums`, the slots from `now` on.
   std::pair<Part, Time> Fit(Time now, Time most, GatewayId gateway, std::uint64_t life, Milli rate,
                             const Budget& budget, const Part& floor, const std::vector<Part>& sums) const;
-  // Who is to get another draw, those first whose part shrinks the most.
+  // Who is to get another grant, those first whose part shrinks the most.
   std::vector<GatewayId> Due() const;
   Milli Has(GatewayId gateway, const Asker& asker) const;
-  void Add(Time now, GatewayId gateway, const Outstanding& draw, const Part& floor, std::vector<Part>* sums);
+  void Add(Time now, GatewayId gateway, const Outstanding& grant, const Part& floor, std::vector<Part>* sums);
   void Schedule(Time now);
 
   const Timings* timings_;
@@ -70,10 +73,10 @@
   bool short_ = false;  // demand is more than there is
   bool waits_ = false;  // a gateway gets its part only when another has given it back
   std::map<GatewayId, Time> called_;
-  Time handed_out_ = Time::min();
+  Time issued_at_ = Time::min();
   Time due_ = Time::max();
 };
 
 }  // namespace brackenspoke::quota
 
-#endif  // BRACKENSPOKE_QUOTA_PARTNER_TREASURY_H_
+#endif  // BRACKENSPOKE_QUOTA_PARTNER_ALLOCATOR_H_
--- a/src/quota/section.cpp
+++ b/src/quota/section.cpp
@@ -51,17 +51,18 @@
 
 }  // namespace
 
+// The keys `treasurers` and `draw_ms` are older than the names of the fields.
 QuotaSection ReadQuota(const json& root, std::vector<std::string>* faults) {
   QuotaSection quota;
   Section section(root, "quota", {"revision", "treasurers", "draw_ms", "ask_ms", "partners"}, faults);
   quota.on = section.present();
   section.Whole<std::uint64_t>("revision", 0, std::uint64_t{1} << 62, &quota.budgets.revision);
-  section.Whole<std::size_t>("treasurers", 1, 64, &quota.treasurers);
-  section.Time("draw_ms", 100, 60000, &quota.draw);
+  section.Whole<std::size_t>("treasurers", 1, 64, &quota.allocators);
+  section.Time("draw_ms", 100, 60000, &quota.grant_life);
   section.Time("ask_ms", 10, 10000, &quota.ask);
   if (!quota.on) return quota;
   if (!section.Find("revision")) section.Fault("revision", "is missing");
-  if (quota.draw < 4 * quota.ask) section.Fault("draw_ms", "is under 4 times ask_ms");
+  if (quota.grant_life < 4 * quota.ask) section.Fault("draw_ms", "is under 4 times ask_ms");
   const json* partners = section.Find("partners");
   if (!partners || !partners->is_object()) {
     section.Fault("partners", "is no object");
@@ -80,7 +81,7 @@
                 std::chrono::milliseconds lease_term, std::chrono::milliseconds lease_drift,
                 std::vector<std::string>* faults) {
   if (!quota.on) return;
-  if (quota.draw >= lease_term - 2 * lease_drift)
+  if (quota.grant_life >= lease_term - 2 * lease_drift)
     faults->push_back("quota.draw_ms is not under sites.lease_term_ms less twice sites.lease_drift_ms");
   std::set<std::string> names;
   for (const auto& [site, gateways] : sites)
--- a/src/quota/section.h
+++ b/src/quota/section.h
@@ -18,8 +18,8 @@
 // docs/configuration.md.
 struct QuotaSection {
   bool on = false;
-  std::size_t treasurers = 4;  // duties that the partners are spread over; must not change in service
-  std::chrono::milliseconds draw{2000};
+  std::size_t allocators = 4;  // duties that the partners are spread over; must not change in service
+  std::chrono::milliseconds grant_life{2000};
   std::chrono::milliseconds ask{250};
   Budgets budgets;
 };
--- a/tests/federation/quota_bed.h
+++ b/tests/federation/quota_bed.h
@@ -17,7 +17,7 @@
 namespace brackenspoke::testing::federation {
 
 constexpr const char* kHandsOut = "hands out draws";
-constexpr milliseconds kDrawLife{1000}, kDrift{100};
+constexpr milliseconds kGrantLife{1000}, kDrift{100};
 
 // Of all windows of the length, the largest count over what the budget allows. A request counts in a window
 // only if it was sent and had arrived within it: then it was certainly admitted in it.
@@ -76,8 +76,8 @@
   // Answers with 429 and Retry-After.
   int refused(const std::string& partner = "isar") const { return refused_.at(partner); }
 
-  // The gateway that hands out draws, once it does.
-  int Treasurer(const std::vector<std::size_t>& marks, int but = -1) {
+  // The gateway that hands out grants, once it does.
+  int Allocator(const std::vector<std::size_t>& marks, int but = -1) {
     return gateways_.WaitForAny(kHandsOut, marks, but);
   }
   static std::vector<std::size_t> FromStart() { return std::vector<std::size_t>(Gateways::kAll, 0); }
@@ -103,7 +103,7 @@
     config["state"] = {{"snapshot_interval_ms", 200}};
     config["quota"] = {{"revision", 1},
                        {"treasurers", 1},
-                       {"draw_ms", kDrawLife.count()},
+                       {"draw_ms", kGrantLife.count()},
                        {"ask_ms", 100},
                        {"partners", partners}};
     return config;
--- a/tests/federation/quota_change_test.cpp
+++ b/tests/federation/quota_change_test.cpp
@@ -8,20 +8,20 @@
 
 constexpr int kOffered = 60;  // a second, at each gateway
 
-TEST(QuotaChange, HoldsWhenItsTreasurerIsDrainedAndThenAnotherStopped) {
+TEST(QuotaChange, HoldsWhenItsAllocatorIsDrainedAndThenAnotherStopped) {
   QuotaBed bed(json::object({{"isar", BudgetJson(200, 100, "refuse", 30)}}));
   bed.Offer("isar", kOffered);
-  const int first = bed.Treasurer(QuotaBed::FromStart());
+  const int first = bed.Allocator(QuotaBed::FromStart());
   ASSERT_GE(first, 0);
   ASSERT_TRUE(bed.journal().WaitForMore(300));
   auto marks = bed.gateways().Marks();
   EXPECT_EQ(bed.gateways().Operator(first, "LAMEDUCK").substr(0, 3), "ACK");
-  const int second = bed.Treasurer(marks, first);
+  const int second = bed.Allocator(marks, first);
   ASSERT_GE(second, 0);
   ASSERT_TRUE(bed.journal().WaitForMore(300));
   marks = bed.gateways().Marks();
   bed.gateways()[second].Signal(SIGTERM);
-  const int third = bed.Treasurer(marks, second);
+  const int third = bed.Allocator(marks, second);
   ASSERT_GE(third, 0);
   EXPECT_NE(third, first);
   ASSERT_TRUE(bed.journal().WaitForMore(300));
--- a/tests/federation/quota_test.cpp
+++ b/tests/federation/quota_test.cpp
@@ -23,24 +23,24 @@
   }
 };
 
-TEST_F(Quota, HoldsWhenItsTreasurerIsKilled) {
-  const int first = Treasurer(FromStart());
+TEST_F(Quota, HoldsWhenItsAllocatorIsKilled) {
+  const int first = Allocator(FromStart());
   ASSERT_GE(first, 0);
   ASSERT_TRUE(journal().WaitForMore(400));
   const auto marks = gateways().Marks();
   gateways()[first].Kill();
-  ASSERT_GE(Treasurer(marks, first), 0);
+  ASSERT_GE(Allocator(marks, first), 0);
   ASSERT_TRUE(journal().WaitForMore(400));
   ExpectWithinBudget();
 }
 
-TEST_F(Quota, HoldsWhenItsTreasurerStandsStillPastItsTermAndGoesOn) {
-  const int first = Treasurer(FromStart());
+TEST_F(Quota, HoldsWhenItsAllocatorStandsStillPastItsTermAndGoesOn) {
+  const int first = Allocator(FromStart());
   ASSERT_GE(first, 0);
   ASSERT_TRUE(journal().WaitForMore(400));
   const auto marks = gateways().Marks();
   gateways()[first].Signal(SIGSTOP);
-  const int second = Treasurer(marks, first);
+  const int second = Allocator(marks, first);
   EXPECT_GE(second, 0);
   EXPECT_TRUE(journal().WaitForMore(200));
   gateways()[first].Signal(SIGCONT);
@@ -48,8 +48,8 @@
   ExpectWithinBudget();
 }
 
-TEST_F(Quota, HoldsWhenItsTreasurerIsCutOffWithAMinority) {
-  const int first = Treasurer(FromStart());
+TEST_F(Quota, HoldsWhenItsAllocatorIsCutOffWithAMinority) {
+  const int first = Allocator(FromStart());
   ASSERT_GE(first, 0);
   ASSERT_TRUE(journal().WaitForMore(400));
   const int site = first / Gateways::kPerSite;
@@ -57,7 +57,7 @@
   std::vector<int> rest = Gateways::Site((site + 1) % 3);
   for (const int i : Gateways::Site((site + 2) % 3)) rest.push_back(i);
   gateways().Part({Gateways::Site(site), rest});
-  const int second = Treasurer(marks, first);
+  const int second = Allocator(marks, first);
   ASSERT_GE(second, 0);
   EXPECT_NE(second / Gateways::kPerSite, site);
   EXPECT_TRUE(gateways()[first].WaitFor("source=floor", marks[Gateways::Index(first)]));
@@ -70,7 +70,7 @@
 }
 
 TEST_F(Quota, HoldsAtFullDemandOnAllSidesOfAPartitionWithoutAMajority) {
-  ASSERT_GE(Treasurer(FromStart()), 0);
+  ASSERT_GE(Allocator(FromStart()), 0);
   ASSERT_TRUE(journal().WaitForMore(400));
   const auto marks = gateways().Marks();
   gateways().Part({Gateways::Site(0), Gateways::Site(1), Gateways::Site(2)});
@@ -84,26 +84,26 @@
 }
 
 TEST_F(Quota, HoldsWhenAllGatewaysAreKilledAndStartAgain) {
-  ASSERT_GE(Treasurer(FromStart()), 0);
+  ASSERT_GE(Allocator(FromStart()), 0);
   ASSERT_TRUE(journal().WaitForMore(400));
   for (int i = 0; i < Gateways::kAll; ++i) gateways()[i].Signal(SIGKILL);
   for (int i = 0; i < Gateways::kAll; ++i) gateways()[i].Reap();
   for (int i = 0; i < Gateways::kAll; ++i) gateways().Launch(i);
   for (int i = 0; i < Gateways::kAll; ++i) gateways().AwaitStart(i);
-  ASSERT_GE(Treasurer(FromStart()), 0);
+  ASSERT_GE(Allocator(FromStart()), 0);
   ASSERT_TRUE(journal().WaitForMore(400));
   ExpectWithinBudget();
 }
 
 TEST_F(Quota, HoldsWithLossDuplicatesAndReordering) {
   gateways().Relay("FAULT * drop=0.3 duplicate=0.3 reorder=0.3");
-  ASSERT_GE(Treasurer(FromStart()), 0);
+  ASSERT_GE(Allocator(FromStart()), 0);
   ASSERT_TRUE(journal().WaitForMore(1000));
   ExpectWithinBudget();
 }
 
 TEST_F(Quota, HoldsForClientsThatMoveEachSecond) {
-  ASSERT_GE(Treasurer(FromStart()), 0);
+  ASSERT_GE(Allocator(FromStart()), 0);
   for (int second = 0; second < 8; ++second) {
     for (int i = 0; i < Gateways::kAll; ++i) on(i) = i % 3 == second % 3;
     std::this_thread::sleep_for(std::chrono::seconds(1));
--- a/tests/fleet/lease_voter_test.cpp
+++ b/tests/fleet/lease_voter_test.cpp
@@ -13,7 +13,7 @@
 #include "fleet/lease/vote_file.h"
 #include "fleet/wire/codec.h"
 #include "harness.h"
-#include "quota/treasurer.h"
+#include "quota/allocator.h"
 
 namespace brackenspoke::testing::fleet {
 namespace {
@@ -182,8 +182,8 @@
   }
 }
 
-// Until the draws that it has handed out have ended, whoever tells it to go.
-TEST(Guard, ATreasurerWithDrawsOutDoesNotGiveItsLeaseBack) {
+// Until the grants that it has handed out have ended, whoever tells it to go.
+TEST(Guard, AnAllocatorWithGrantsOutDoesNotGiveItsLeaseBack) {
   namespace qt = brackenspoke::quota;
   auto budgets = std::make_shared<qt::Budgets>();
   budgets->revision = 1;
@@ -196,11 +196,11 @@
     fl::LeaseMessage grant = outlet.sent.at(0);
     grant.verb = Verb::kGrant;
     leases.Receive(then, OptionsOf(3).voters[1], grant);
-    qt::Treasurer treasurer({0, 1, {{"muc", {"g"}}}, {}}, budgets);
-    qt::TreasurerActions actions;
+    qt::Allocator allocator({0, 1, {{"muc", {"g"}}}, {}}, budgets);
+    qt::AllocatorActions actions;
     const qt::Request request{1, 1, 1, {{{"isar", {}, 0}, 100 * qt::kOne, qt::kOne}}, {}};
-    if (asked) treasurer.Receive(then, *leases.Guard(then, "d"), "g", request, &actions);
-    EXPECT_EQ(treasurer.OutUntil(then) > then, asked);
+    if (asked) allocator.Receive(then, *leases.Guard(then, "d"), "g", request, &actions);
+    EXPECT_EQ(allocator.OutUntil(then) > then, asked);
     outlet.sent.clear();
     leases.Release(then);
     EXPECT_EQ(outlet.sent.empty(), asked);
--- a/tests/quota/account_test.cpp
+++ b/tests/quota/account_test.cpp
@@ -56,7 +56,7 @@
     account_.Receive(At(ms), 0, answer, &actions);
     return Requests(actions);
   }
-  static Answer DrawOf(std::uint64_t ask, std::uint64_t number, Milli rate, std::uint64_t token = 1) {
+  static Answer GrantOf(std::uint64_t ask, std::uint64_t number, Milli rate, std::uint64_t token = 1) {
     return {kLife, 1, token, false, {{"isar", ask, number, {rate, 2 * rate}, 2000}}, {}, {}};
   }
   // Makes the account ask at `ms`, and says by which number.
@@ -79,34 +79,34 @@
   EXPECT_EQ(account_.Charge(At(0), "lech", 1).verdict, Verdict::kUnknown);
 }
 
-TEST_F(AccountTest, ADrawCountsFromItsAskAndPutsTheFloorAwayUntilItsEnd) {
+TEST_F(AccountTest, AGrantCountsFromItsAskAndPutsTheFloorAwayUntilItsEnd) {
   Level(3000);  // more than the floor is enough for
   const std::uint64_t ask = Ask(3000);
   Level(3500);
-  const auto acks = Receive(3500, DrawOf(ask, 1, 2 * kOne));
+  const auto acks = Receive(3500, GrantOf(ask, 1, 2 * kOne));
   ASSERT_EQ(acks.size(), 1u);
-  EXPECT_EQ(acks[0].acks.at(0).draw, (DrawId{1, 1}));
+  EXPECT_EQ(acks[0].acks.at(0).grant, (GrantId{1, 1}));
   EXPECT_EQ(acks[0].acks.at(0).away_ms, 1500u);
   EXPECT_EQ(Level(4500), 2);
   EXPECT_EQ(Level(4999), 0);  // 2 a second since, which is not yet one
-  EXPECT_EQ(Level(5101), 2);  // the floor since 5000: one more by it, and one by the draw's last half second
+  EXPECT_EQ(Level(5101), 2);  // the floor since 5000: one more by it, and one by the grant's last half second
 }
 
-TEST_F(AccountTest, OldRepeatedLateAndForeignDrawsChangeNothing) {
+TEST_F(AccountTest, OldRepeatedLateAndForeignGrantsChangeNothing) {
   const std::uint64_t ask = Ask(0);
-  ASSERT_EQ(Receive(10, DrawOf(ask, 5, 30 * kOne)).size(), 1u);
-  EXPECT_TRUE(Receive(10, DrawOf(ask, 5, 60 * kOne)).empty());      // a repeat
-  EXPECT_TRUE(Receive(10, DrawOf(ask, 4, 60 * kOne)).empty());      // overtaken
-  EXPECT_TRUE(Receive(10, DrawOf(ask + 1, 6, 60 * kOne)).empty());  // of no ask
-  Answer foreign = DrawOf(ask, 7, 60 * kOne);
+  ASSERT_EQ(Receive(10, GrantOf(ask, 5, 30 * kOne)).size(), 1u);
+  EXPECT_TRUE(Receive(10, GrantOf(ask, 5, 60 * kOne)).empty());      // a repeat
+  EXPECT_TRUE(Receive(10, GrantOf(ask, 4, 60 * kOne)).empty());      // overtaken
+  EXPECT_TRUE(Receive(10, GrantOf(ask + 1, 6, 60 * kOne)).empty());  // of no ask
+  Answer foreign = GrantOf(ask, 7, 60 * kOne);
   foreign.life = kLife + 1;
   EXPECT_TRUE(Receive(10, foreign).empty());
-  Answer newer = DrawOf(ask, 8, 60 * kOne);
+  Answer newer = GrantOf(ask, 8, 60 * kOne);
   newer.revision = 2;
   EXPECT_TRUE(Receive(10, newer).empty());
   EXPECT_EQ(Level(1010), 30);
-  EXPECT_TRUE(Receive(2000, DrawOf(ask, 9, 60 * kOne)).empty());      // its time is over
-  EXPECT_EQ(Receive(1020, DrawOf(ask, 1, 60 * kOne, 2)).size(), 1u);  // a newer treasurer counts anew
+  EXPECT_TRUE(Receive(2000, GrantOf(ask, 9, 60 * kOne)).empty());      // its time is over
+  EXPECT_EQ(Receive(1020, GrantOf(ask, 1, 60 * kOne, 2)).size(), 1u);  // a newer allocator counts anew
 }
 
 TEST_F(AccountTest, AsksAtOnceWhereDemandShiftsAndKeepsQuietWithoutAny) {
@@ -120,7 +120,7 @@
       asked.push_back(ms);
       last = request.ask;
       EXPECT_EQ(request.asks.at(0).held.partner, "isar");
-      Receive(ms, DrawOf(request.ask, request.ask, 60 * kOne));
+      Receive(ms, GrantOf(request.ask, request.ask, 60 * kOne));
       EXPECT_TRUE(ms <= 2000 || request.asks[0].demand == 0);
     }
   }
@@ -136,7 +136,7 @@
   EXPECT_GT(last, 0u);
 }
 
-TEST_F(AccountTest, RenewsADrawThatIsAnAnswerThoughItIsLess) {
+TEST_F(AccountTest, RenewsAGrantThatIsAnAnswerThoughItIsLess) {
   // A tenth of the demand, for 10 s: each renewal well before the end, and not each 250 ms.
   int answered = 0, unanswered = 0;
   for (int ms = 0; ms < 10'000; ms += 10) {
@@ -145,7 +145,7 @@
     for (const Request& request : Tick(ms)) {
       if (ms >= 2000 && ms < 8000) ++answered;
       if (ms >= 8000) ++unanswered;
-      if (ms < 8000) Receive(ms, DrawOf(request.ask, request.ask, 2 * kOne));
+      if (ms < 8000) Receive(ms, GrantOf(request.ask, request.ask, 2 * kOne));
     }
   }
   EXPECT_LE(answered, 6000 / 500);
@@ -171,7 +171,7 @@
   Answer agreed{0, 2, 1, true, {}, {}, {}};
   Receive(60'000, agreed);
   EXPECT_EQ(Level(120'000), 40);
-  // A cut counts at once, and before the file is read here where a treasurer has it.
+  // A cut counts at once, and before the file is read here where an allocator has it.
   Receive(120'000, {0, 3, 1, false, {}, {}, {{"isar", {kOne, 2 * kOne}}}});
   EXPECT_EQ(Level(180'000), 2);
 }
--- a/tests/quota/commitments_test.cpp
+++ b/tests/quota/commitments_test.cpp
@@ -10,7 +10,7 @@
 
 using std::chrono::milliseconds;
 
-// The sums of many gateways are those of each slot by itself, whatever draws, lives and lent floors there
+// The sums of many gateways are those of each slot by itself, whatever grants, lives and lent floors there
 // are.
 TEST(Commitments, SumEachSlotAsItIs) {
   std::mt19937_64 random(1);
--- a/tests/quota/messages_test.cpp
+++ b/tests/quota/messages_test.cpp
@@ -75,11 +75,11 @@
     const std::uint64_t most = UINT64_MAX;
     request.asks.push_back({{partner, {most, most}, 600'000}, kMostRate, kMostBurst});
     request.acks.push_back({partner, {most, most}, 600'000});
-    answer.draws.push_back({partner, most, most, {kMostRate, kMostBurst}, 600'000});
+    answer.grants.push_back({partner, most, most, {kMostRate, kMostBurst}, 600'000});
     answer.calls.push_back(partner);
   }
   request.life = request.revision = request.ask = answer.life = answer.revision = answer.token = UINT64_MAX;
-  std::size_t asks = 0, acks = 0, draws = 0, calls = 0;
+  std::size_t asks = 0, acks = 0, grants = 0, calls = 0;
   for (const Request& part : Split(request)) {
     EXPECT_LE(ToJson(part).dump().size(), kMostMessage);
     EXPECT_TRUE(RequestFromJson(ToJson(part), "a"));
@@ -88,12 +88,12 @@
   }
   for (const Answer& part : Split(answer)) {
     EXPECT_LE(ToJson(part).dump().size(), kMostMessage);
-    draws += part.draws.size();
+    grants += part.grants.size();
     calls += part.calls.size();
   }
   EXPECT_EQ(asks, 101u);
   EXPECT_EQ(acks, 101u);
-  EXPECT_EQ(draws, 101u);
+  EXPECT_EQ(grants, 101u);
   EXPECT_EQ(calls, 101u);
   EXPECT_TRUE(Split(Request{}).empty());
 }
--- a/tests/quota/use_test.cpp
+++ b/tests/quota/use_test.cpp
@@ -66,7 +66,7 @@
     }
 }
 
-TEST(QuotaUse, HasTheFloorsWithoutATreasurer) {
+TEST(QuotaUse, HasTheFloorsWithoutAnAllocator) {
   Gateways gateways(Options(1), Sample(0.6));
   for (std::size_t i = 0; i < gateways.size(); ++i) gateways.SetLoad(i, "isar", kPerS);
   gateways.world().network().SetDefault({1.0});
@@ -75,14 +75,14 @@
 }
 
 // Of a minute in which the holder dies and does not come back, against a minute without.
-TEST(QuotaUse, LosesLessThan5PercentOfAMinuteWithATreasurer) {
+TEST(QuotaUse, LosesLessThan5PercentOfAMinuteWithAnAllocator) {
   for (std::uint64_t seed = 1; seed <= 5; ++seed) {
     Gateways gateways(Options(seed), Sample(0));
     Wide(gateways);
     for (const std::size_t i : {1, 4, 7}) gateways.SetLoad(i, "isar", kPerS);
     gateways.world().RunUntil(kWarm);
     const double before = SpentOver(gateways, seconds(20));
-    const auto holder = gateways.Holder(quota::TreasurerOf("isar", 2));
+    const auto holder = gateways.Holder(quota::AllocatorOf("isar", 2));
     ASSERT_TRUE(holder);
     gateways.world().Crash(*holder);
     EXPECT_GE(SpentOver(gateways, seconds(60)), before - 0.05) << "seed " << seed;
