--- a/src/proxy/config/replacement.cpp
+++ b/src/proxy/config/replacement.cpp
@@ -90,8 +90,8 @@
   setting("kinds", json::array());
   setting("registryMode", "push");
   fixed(fresh.quota.on == current.quota.on, "quota");
-  fixed(fresh.quota.treasurers == current.quota.treasurers, "quota.treasurers");
-  fixed(fresh.quota.draw == current.quota.draw, "quota.draw_ms");
+  fixed(fresh.quota.allocators == current.quota.allocators, "quota.treasurers");
+  fixed(fresh.quota.grant_life == current.quota.grant_life, "quota.draw_ms");
   fixed(fresh.quota.ask == current.quota.ask, "quota.ask_ms");
 }
 
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -11,6 +11,8 @@
 #include <memory>
 #include <string>
 
+#include "admin/admin_handler.h"
+#include "admin/maintenance_controller.h"
 #include "backends.h"
 #include "clients.h"
 #include "config.h"
@@ -21,14 +23,12 @@
 #include "core/pending.h"
 #include "core/requests.h"
 #include "core/server_directory.h"
-#include "desk/operators_desk.h"
-#include "desk/servers_out.h"
 #include "federation/link.h"
 #include "fleet_link/discovery_duty.h"
 #include "fleet_link/fleet_link.h"
 #include "fleet_link/maintenance_duty.h"
+#include "hot_restart.h"
 #include "operators.h"
-#include "overlap.h"
 #include "recovery/own_verdicts.h"
 #include "recovery/recovery.h"
 
@@ -70,7 +70,7 @@
   // The parts know each other by reference. Clients end first, which may end attempts, and then backends: all
   // that an event may reach is above them.
   std::shared_ptr<const Config> config_;  // in force
-  Overlap overlap_;
+  HotRestart hot_restart_;
   int processes_ = 1;  // that the module was told of
   Buffers buffers_;
   PendingRequests pending_;
@@ -83,13 +83,13 @@
   Requests requests_;
   Limits limits_;
   ServerDirectory servers_;
-  ServersOut servers_out_;
+  MaintenanceController maintenance_controller_;
   DiscoveryDuty discovery_;
   Backends backends_;
   Clients clients_;
   Door door_;
   Recovery recovery_;
-  OperatorsDesk desk_;
+  AdminHandler admin_handler_;
   std::unique_ptr<Operators> operators_;  // where the configuration names their address
 };
 
