Read a client's rest as any other read, and let the races' test end in order

Symptom: under sanitizers Process.OutlivesRunningOutOfDescriptors and Process.AnswersOperatorsWithItsDescriptorsUsedUp ByClients failed, as the process ended; eleven tests of DiscoveryRaces and UnreadList read freed memory at their end.

Cause of the first: the read of what comes behind a connection's end had a type of its own. Its first use came when no descriptor was left, and then the sanitizer, which needs one to look at an unknown type's memory, reports a fault that is none. Both reads are one function now. Of the second: the fixture's event loop was destroyed before its watch.

--- a/src/proxy/client/session.cpp
+++ b/src/proxy/client/session.cpp
@@ -99,6 +99,11 @@
                                  : in_head_ ? RequestReader::kAll
                                             : owner_->buffers_.piece());
   if (room.size() == 0) return OnUnreadable(http::error::header_limit);
+  ReadInto(room);
+}
+
+// Within the stream's time limit.
+void Clients::Session::ReadInto(const boost::asio::mutable_buffer& room) {
   reading_ = true;
   stream_.async_read_some(
       room, [self = shared_from_this()](const Error& failed, std::size_t n) { self->OnRead(failed, n); });
@@ -409,11 +414,8 @@
 
 void Clients::Session::DiscardRest() {
   if (reading_) return CancelRead();
-  reading_ = true;
   stream_.expires_at(ending_since_ + kDrain);  // of it all: a peer must not hold the place by sending on
-  stream_.async_read_some(reader_.Discard(), [self = shared_from_this()](const Error& failed, std::size_t n) {
-    self->OnRead(failed, n);
-  });
+  ReadInto(reader_.Discard());
 }
 
 }  // namespace brackenspoke::proxy
--- a/src/proxy/client/session.h
+++ b/src/proxy/client/session.h
@@ -75,6 +75,7 @@
   void ReadOn();
   void ReadMoreOfHead();
   void ReadSome();
+  void ReadInto(const boost::asio::mutable_buffer& room);
   void ReadAhead();
   void OnRead(const Error& failed, std::size_t n);
   void CancelRead();
--- a/tests/discovery/races_test.cpp
+++ b/tests/discovery/races_test.cpp
@@ -17,6 +17,8 @@
 
 // Watches on the test's own thread.
 class ByHand {
+  asio::io_context io_;  // first: it outlives what runs on it
+
  public:
   explicit ByHand(const Tcp::endpoint& address) : io_(1) {
     discovery = std::make_unique<proxy::Discovery>(
@@ -57,8 +59,6 @@
     revisions.push_back(list.revision);
     on_list();
   }
-
-  asio::io_context io_;
 };
 
 void Answer(Tcp::socket& socket, int revision) {
