Tell datagrams that a member held back from those it dropped, with bytes by kind

Under one code, FLEET-2, an operator was told to look for strangers on the port where the process had reached its own limit of bytes a second. The limit has a code of its own now, FLEET-7, whose line names the kinds of message that were held back and the bytes sent of each kind.

SpillUpgrade.AMemberWithoutItLivesInTheFleetOfThoseWithIt looks for both codes, so what failed before still fails.

--- a/src/fleet/failures.h
+++ b/src/fleet/failures.h
@@ -16,8 +16,7 @@
     "end the process that has it, unless an upgrade is under way; it is tried again every probe interval"};
 inline constexpr FailureKind kDatagramsDropped{
     "FLEET-2", "datagrams were dropped",
-    "bring all members to one version and name of the fleet and keep strangers off the port; raise "
-    "most_bytes_per_second if throttled grows"};
+    "bring all members to one version and name of the fleet and keep strangers off the port"};
 inline constexpr FailureKind kStalled{
     "FLEET-3", "this process stood still",
     "see what else the machine runs; the member blames nobody for that time"};
@@ -30,8 +29,13 @@
     "FLEET-6", "an entry of the list of servers, made known by another member, is out of form",
     "bring all members to one version; the list that this process has stays in force"};
 
-inline constexpr std::array kFleetFailures{&kAddressInUse, &kDatagramsDropped, &kStalled,
-                                           &kDisplaced,    &kEntryRejected,    &kBadListEntry};
+inline constexpr FailureKind kBandwidthLimitReached{
+    "FLEET-7", "datagrams were not sent, as this process reached its own limit of bytes a second",
+    "see in the line which kind took the bytes; raise most_bytes_per_second if it recurs"};
+
+inline constexpr std::array kFleetFailures{
+    &kAddressInUse, &kDatagramsDropped,     &kStalled, &kDisplaced, &kEntryRejected,
+    &kBadListEntry, &kBandwidthLimitReached};
 
 }  // namespace load_balancer::fleet
 
--- a/src/fleet/node/transport.cpp
+++ b/src/fleet/node/transport.cpp
@@ -90,16 +90,26 @@
   log::Warn(options_.component, Failure(kDatagramsDropped, "dropped " + FormatDropCounters(counters_)));
 }
 
+void Transport::LogThrottled() {
+  const Time now = Steady::now();
+  if (now < next_throttle_log_) return;
+  next_throttle_log_ = now + kDropLogInterval;
+  log::Warn(options_.component, Failure(kBandwidthLimitReached, FormatThrottleCounters(counters_)));
+}
+
 void Transport::Send(const Udp::endpoint& to, const Message& message) {
   const auto datagram = Encode(options_.fleet, message);
+  const auto kind = static_cast<std::size_t>(message.kind);
   if (!budget_.TrySpend(Steady::now(), datagram.size())) {
     ++counters_.throttled;
-    return LogDrops();
+    ++counters_.throttled_by_kind.at(kind);
+    return LogThrottled();
   }
   Error ignored;  // a datagram may be lost anyway
   socket_.send_to(asio::buffer(datagram), to, 0, ignored);
   ++counters_.sent;
   counters_.bytes_sent += datagram.size();
+  counters_.bytes_sent_by_kind.at(kind) += datagram.size();
 }
 
 }  // namespace load_balancer::fleet
--- a/src/fleet/node/transport.h
+++ b/src/fleet/node/transport.h
@@ -60,6 +60,7 @@
   void Receive();
   void OnDatagram(std::size_t size);
   void LogDrops();
+  void LogThrottled();
 
   const TransportOptions options_;
   Host& host_;
@@ -70,6 +71,7 @@
   TrafficCounters counters_;
   SendBudget budget_;
   Time next_drop_log_{};
+  Time next_throttle_log_{};
   bool is_closed_ = false;
   bool has_logged_failure_ = false;
 };
--- a/src/fleet/wire/message.h
+++ b/src/fleet/wire/message.h
@@ -82,6 +82,8 @@
   nlohmann::json payload;             ///< of kPayload; the fleet does not interpret it
 };
 
+std::string_view Name(Message::Kind kind);
+
 /// Why a datagram was dropped.
 enum class DropReason {
   kMalformed,
--- a/tests/federation/spill_members_test.cpp
+++ b/tests/federation/spill_members_test.cpp
@@ -81,8 +81,10 @@
     const std::string members = scene.gateways().Operator(i, "MEMBERS");
     for (const int other : Gateways::Site(0))
       EXPECT_NE(members.find(Gateways::Name(other) + " alive"), std::string::npos) << members;
-    for (const std::string& line : scene.gateways()[i].Lines())
+    for (const std::string& line : scene.gateways()[i].Lines()) {
       EXPECT_EQ(line.find("FLEET-2 "), std::string::npos) << Gateways::Name(i) << ": " << line;
+      EXPECT_EQ(line.find("FLEET-7 "), std::string::npos) << Gateways::Name(i) << ": " << line;
+    }
   }
 }
 
