Push only what is new to a fleet, a list as a whole, and keep bytes for probes

Seen: SpillUpgrade.AMemberWithoutItLivesInTheFleetOfThoseWithIt failed under sanitizers as a member's own limit of bytes a second held back datagrams. In a fleet with a long list of backends that hits callers: probes and lease renewals are not sent, and members serve by an old list for longer.

Cause: the holder of discovery's lease published one backend after the other, each value was pushed to three members, and each push was filled up with all that was pending: 3 N datagrams of 1,400 bytes for N backends, at the gain of the lease and again at discovery's answer. State, probes and leases had one budget.

--- a/model/fleet/member.cpp
+++ b/model/fleet/member.cpp
@@ -61,6 +61,7 @@
 void PoolMember::Tick() {
   membership_.Tick(host_.Now());
   if (leases_) leases_->Tick(host_.Now(), host_.Wall());
+  gossip_.ContinuePush(host_.Wall());
 }
 
 Time PoolMember::Next() const {
@@ -76,12 +77,25 @@
   if (const auto proof = ProveLease(duty)) Publish(*proof, key, std::move(value), lasts);
 }
 
+void PoolMember::Publish(const std::string& duty, std::vector<fleet::NamedValue> values, Span lasts) {
+  if (const auto proof = ProveLease(duty)) Publish(*proof, std::move(values), lasts);
+}
+
 bool PoolMember::Publish(const fleet::LeaseProof& proof, const std::string& key, nlohmann::json value,
                          Span lasts) {
+  std::vector<fleet::NamedValue> values;
+  values.push_back({key, std::move(value)});
+  return Publish(proof, std::move(values), lasts);
+}
+
+bool PoolMember::Publish(const fleet::LeaseProof& proof, std::vector<fleet::NamedValue> values, Span lasts) {
   if (!proof.IsValid(host_.Now())) return false;
   const fleet::UnixMs now = host_.Wall();
   const fleet::UnixMs until = now + static_cast<fleet::UnixMs>(Milliseconds(lasts).count());
-  gossip_.Announce(now, fleet::FencedValue{proof.lease_name(), key, proof.token(), until, std::move(value)});
+  std::vector<fleet::FencedValue> fenced;
+  for (fleet::NamedValue& each : values)
+    fenced.push_back({proof.lease_name(), std::move(each.key), proof.token(), until, std::move(each.value)});
+  gossip_.Announce(now, std::move(fenced));
   return true;
 }
 
@@ -121,13 +135,21 @@
 void PoolMember::Send(const Endpoint& to, const Message& message) {
   Message whole = message;
   gossip_.AttachState(host_.Wall(), &whole);
-  const std::size_t size = EncodedSize(whole);
-  if (!budget_.TrySpend(host_.Now(), size)) {
-    ++throttled_;
-    return;
-  }
-  if (options_.observer) options_.observer->OnSent(*this, to, whole);
-  host_.Send(to, Datagram{options_.pool, std::move(whole)}, size);
+  const std::size_t bytes = EncodedSize(whole);
+  if (budget_.TrySpend(host_.Now(), bytes)) return Deliver(to, std::move(whole), bytes);
+  ++throttled_;
+}
+
+bool PoolMember::TrySend(const Endpoint& to, const Message& message) {
+  const std::size_t bytes = EncodedSize(message);
+  if (!budget_.TrySpendBulk(host_.Now(), bytes)) return false;
+  Deliver(to, message, bytes);
+  return true;
+}
+
+void PoolMember::Deliver(const Endpoint& to, Message message, std::size_t bytes) {
+  if (options_.observer) options_.observer->OnSent(*this, to, message);
+  host_.Send(to, Datagram{options_.pool, std::move(message)}, bytes);
 }
 
 // At most: what the codec would make of it may be some bytes smaller.
--- a/model/fleet/member.h
+++ b/model/fleet/member.h
@@ -68,8 +68,11 @@
   void Announce(fleet::KeyAffinity affinity);
   // A fact of a duty for so long; nothing unless this member holds the lease.
   void Publish(const std::string& duty, const std::string& key, nlohmann::json value, Span lasts);
+  // The same for several facts at once.
+  void Publish(const std::string& duty, std::vector<fleet::NamedValue> values, Span lasts);
   // The same under a lease of any pool; false, and nothing, if it does not hold now.
   bool Publish(const fleet::LeaseProof& proof, const std::string& key, nlohmann::json value, Span lasts);
+  bool Publish(const fleet::LeaseProof& proof, std::vector<fleet::NamedValue> values, Span lasts);
   // To whoever has that address in the pool, for a layer above. What comes is in Datagram's message.
   void Send(const Endpoint& to, std::string channel, nlohmann::json payload);
   // Out of the pool, its leases given back, and in again.
@@ -92,6 +95,8 @@
 
  private:
   void Send(const Endpoint& to, const fleet::Message& message) override;
+  bool TrySend(const Endpoint& to, const fleet::Message& message) override;
+  void Deliver(const Endpoint& to, fleet::Message message, std::size_t bytes);
   void OnMemberChanged(const fleet::Member& member, std::optional<fleet::MemberState> before,
                        std::string_view why) override;
   void OnStalled(Span) override {}
--- a/src/fleet/node/node.cpp
+++ b/src/fleet/node/node.cpp
@@ -97,10 +97,20 @@
 
 Result<void> Node::Publish(const LeaseProof& proof, const std::string& key, nlohmann::json value,
                            Span lifetime) {
-  if (!proof.IsValid(Steady::now())) return tl::unexpected(Failure(kLeaseExpired, key));
+  std::vector<NamedValue> values;
+  values.push_back({key, std::move(value)});
+  return Publish(proof, std::move(values), lifetime);
+}
+
+Result<void> Node::Publish(const LeaseProof& proof, std::vector<NamedValue> values, Span lifetime) {
+  if (values.empty()) return {};
+  if (!proof.IsValid(Steady::now())) return tl::unexpected(Failure(kLeaseExpired, values.front().key));
   const auto lifetime_ms = std::chrono::duration_cast<std::chrono::milliseconds>(lifetime).count();
   const UnixMs until = UnixMilliseconds() + static_cast<UnixMs>(lifetime_ms);
-  state_.Announce(FencedValue{proof.lease_name(), key, proof.token(), until, std::move(value)});
+  std::vector<FencedValue> fenced;
+  for (NamedValue& each : values)
+    fenced.push_back({proof.lease_name(), std::move(each.key), proof.token(), until, std::move(each.value)});
+  state_.Announce(std::move(fenced));
   return {};
 }
 
@@ -121,6 +131,7 @@
 void Node::Tick() {
   membership_->Tick(Steady::now());
   leases_.Tick();
+  state_.ContinuePush();
   scheduled_tick_ = {};
   ScheduleTick();
 }
@@ -155,6 +166,11 @@
   transport_.Send(to, complete);
 }
 
+// A message that can wait carries state already, so there is nothing to attach.
+bool Node::TrySend(const Udp::endpoint& to, const Message& message) {
+  return !transport_.is_open() || transport_.TrySend(to, message);
+}
+
 void Node::OnMemberChanged(const Member& member, std::optional<MemberState> before, std::string_view why) {
   const Update& last = member.last;
   log::Info(options_.component, fmt::format("member={} state={} was={} incarnation={} address={} by={}",
--- a/src/fleet/node/node.h
+++ b/src/fleet/node/node.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "fleet/membership/membership.h"
 #include "fleet/node/fleet_listener.h"
@@ -71,6 +72,8 @@
   /// Publishes a value of the proof's duty for `lifetime`, under its token. Fails with kLeaseExpired.
   Result<void> Publish(const LeaseProof& proof, const std::string& key, nlohmann::json value,
                        Span lifetime) override;
+  /// The same for several values, which go out in as few messages as they fit.
+  Result<void> Publish(const LeaseProof& proof, std::vector<NamedValue> values, Span lifetime);
 
   /// Sends a payload to the subscriber of the channel at a member; one without subscriber drops it, and it
   /// may be lost as any datagram. False, and nothing is sent, if the channel's name is empty or exceeds
@@ -95,6 +98,7 @@
   void OnMessage(const Message& message) override;
 
   void Send(const Udp::endpoint& to, const Message& message) override;
+  bool TrySend(const Udp::endpoint& to, const Message& message) override;
   void OnMemberChanged(const Member& member, std::optional<MemberState> before,
                        std::string_view why) override;
   void OnStalled(Span late) override;
--- a/src/fleet/node/state_exchange.h
+++ b/src/fleet/node/state_exchange.h
@@ -8,6 +8,7 @@
 
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "base/time.h"
 #include "base/wall_clock.h"
@@ -41,7 +42,9 @@
   /// Disseminates an entry of this process. An affinity waits for a message that has room.
   void Announce(Ejection ejection) { gossip_.Announce(UnixMilliseconds(), std::move(ejection)); }
   void Announce(KeyAffinity affinity) { gossip_.Announce(UnixMilliseconds(), std::move(affinity)); }
-  void Announce(FencedValue fenced) { gossip_.Announce(UnixMilliseconds(), std::move(fenced)); }
+  void Announce(std::vector<FencedValue> values) { gossip_.Announce(UnixMilliseconds(), std::move(values)); }
+  /// Sends what the bandwidth limit has held back. To be called now and then.
+  void ContinuePush() { gossip_.ContinuePush(UnixMilliseconds()); }
 
   SharedState::Summary Summarize();
 
--- a/src/fleet/node/transport.cpp
+++ b/src/fleet/node/transport.cpp
@@ -99,17 +99,26 @@
 
 void Transport::Send(const Udp::endpoint& to, const Message& message) {
   const auto datagram = Encode(options_.fleet, message);
-  const auto kind = static_cast<std::size_t>(message.kind);
-  if (!budget_.TrySpend(Steady::now(), datagram.size())) {
-    ++counters_.throttled;
-    ++counters_.throttled_by_kind.at(kind);
-    return LogThrottled();
-  }
+  if (budget_.TrySpend(Steady::now(), datagram.size())) return Deliver(to, message, datagram);
+  ++counters_.throttled;
+  ++counters_.throttled_by_kind.at(static_cast<std::size_t>(message.kind));
+  LogThrottled();
+}
+
+bool Transport::TrySend(const Udp::endpoint& to, const Message& message) {
+  const auto datagram = Encode(options_.fleet, message);
+  if (!budget_.TrySpendBulk(Steady::now(), datagram.size())) return false;
+  Deliver(to, message, datagram);
+  return true;
+}
+
+void Transport::Deliver(const Udp::endpoint& to, const Message& message,
+                        std::span<const std::uint8_t> datagram) {
   Error ignored;  // a datagram may be lost anyway
-  socket_.send_to(asio::buffer(datagram), to, 0, ignored);
+  socket_.send_to(asio::buffer(datagram.data(), datagram.size()), to, 0, ignored);
   ++counters_.sent;
   counters_.bytes_sent += datagram.size();
-  counters_.bytes_sent_by_kind.at(kind) += datagram.size();
+  counters_.bytes_sent_by_kind.at(static_cast<std::size_t>(message.kind)) += datagram.size();
 }
 
 }  // namespace load_balancer::fleet
--- a/src/fleet/node/transport.h
+++ b/src/fleet/node/transport.h
@@ -12,6 +12,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <span>
 #include <string>
 
 #include "base/time.h"
@@ -50,6 +51,9 @@
 
   /// Sends the message, which may be lost as any datagram, unless the bandwidth limit is reached.
   void Send(const Udp::endpoint& to, const Message& message);
+  /// The same for a message that can wait: it leaves a part of the bandwidth to the others. False, and
+  /// nothing is sent or counted, if no more is left.
+  [[nodiscard]] bool TrySend(const Udp::endpoint& to, const Message& message);
   /// Counts a received message that was dropped.
   void CountDrop(DropReason reason);
   const TrafficCounters& counters() const { return counters_; }
@@ -59,6 +63,7 @@
   void RetryOpen(const boost::system::error_code& failure);
   void Receive();
   void OnDatagram(std::size_t size);
+  void Deliver(const Udp::endpoint& to, const Message& message, std::span<const std::uint8_t> datagram);
   void LogDrops();
   void LogThrottled();
 
--- a/src/fleet/state/dissemination.cpp
+++ b/src/fleet/state/dissemination.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "fleet/state/dissemination.h"
 
+#include <algorithm>
 #include <vector>
 
 #include "fleet/state/anti_entropy.h"
@@ -41,8 +42,17 @@
 
 }  // namespace
 
-json PackPending(const EntryStore& store, std::size_t max_bytes) {
-  return PackAll(store, SelectPending(store, max_bytes));
+PackedPush PackKeys(const EntryStore& store, const std::set<EntryKey>& keys, std::size_t max_bytes) {
+  std::size_t left = max_bytes - std::min(max_bytes, kArrayBytes);
+  PackedPush push;
+  for (const EntryKey& key : keys) {
+    const std::size_t size = store.Find(key)->packed_bytes;
+    if (size > left) break;
+    left -= size;
+    push.keys.push_back(key);
+  }
+  push.entries = PackAll(store, push.keys);
+  return push;
 }
 
 json PackAndCountPending(EntryStore* store, std::size_t max_bytes, int max_transmits) {
--- a/src/fleet/state/dissemination.h
+++ b/src/fleet/state/dissemination.h
@@ -8,15 +8,24 @@
 
 #include <cstddef>
 #include <nlohmann/json.hpp>
+#include <set>
+#include <vector>
 
 #include "fleet/state/entry_store.h"
 
 namespace load_balancer::fleet {
 
-/// Packs pending entries into an array of at most `max_bytes`, without counting them as sent.
-nlohmann::json PackPending(const EntryStore& store, std::size_t max_bytes);
+/// An array of packed entries, and their keys.
+struct PackedPush {
+  nlohmann::json entries;
+  std::vector<EntryKey> keys;
+};
 
-/// The same, and counts them as sent; each is pending until it has been sent `max_transmits` times.
+/// Packs as many of the stored entries with these keys as fit `max_bytes`, in the order of the keys.
+PackedPush PackKeys(const EntryStore& store, const std::set<EntryKey>& keys, std::size_t max_bytes);
+
+/// Packs pending entries into an array of at most `max_bytes` and counts them as sent; each is pending until
+/// it has been sent `max_transmits` times.
 nlohmann::json PackAndCountPending(EntryStore* store, std::size_t max_bytes, int max_transmits);
 
 }  // namespace load_balancer::fleet
--- a/src/fleet/state/entry.h
+++ b/src/fleet/state/entry.h
@@ -55,6 +55,12 @@
   nlohmann::json value;
 };
 
+/// A fenced value without its duty, token and end.
+struct NamedValue {
+  std::string key;
+  nlohmann::json value;
+};
+
 /// The writer of an entry and the time of writing. The later stamp wins; of equal stamps the greater origin.
 struct Version {
   HybridTimestamp stamp = 0;
--- a/src/fleet/state/gossip.cpp
+++ b/src/fleet/state/gossip.cpp
@@ -41,8 +41,8 @@
 
 bool StateGossip::Receive(UnixMs now, const Message& message) {
   if (!membership_ || message.sender.name == name_) return false;
-  const bool has_new = !message.state.is_null() && state_.Receive(now, message.state);
-  if (has_new) PushNewEntries(now);
+  if (!message.state.is_null()) state_.Receive(now, message.state);
+  PushNewEntries(now);
   if (message.kind == Message::Kind::kSync) AnswerSync(now, message);
   if (message.kind == Message::Kind::kState && message.range && message.wants_reply)
     SendMissing(now, message);
@@ -83,7 +83,7 @@
   for (auto& chunk : state_.PackDiffering(now, theirs, next_start_, max_bytes, kMaxAnswerChunks)) {
     message.range = chunk.range;
     message.state = std::move(chunk.entries);
-    sender_.Send(to, message);
+    if (!sender_.TrySend(to, message)) return;  // the rest is asked for with the next sync
   }
 }
 
@@ -96,7 +96,7 @@
   Message message = MakeMessage(Message::Kind::kState);
   for (nlohmann::json& entries : entry_arrays) {
     message.state = std::move(entries);
-    sender_.Send(to, message);
+    if (!sender_.TrySend(to, message)) return;  // as above
   }
 }
 
@@ -111,12 +111,25 @@
   return RemainingBytes(fleet_, MakeMessage(Message::Kind::kState));
 }
 
-// Each receiver to which an entry is new pushes it on.
+// Each receiver to which an entry is new pushes it on. What the bandwidth limit holds back stays unpushed.
 void StateGossip::PushNewEntries(UnixMs now) {
-  if (!membership_) return;
-  Message message = MakeMessage(Message::Kind::kState);
-  message.state = state_.PackPush(now, RemainingBytes(fleet_, message));
-  for (const Udp::endpoint& to : membership_->Sample(kPushFanout)) sender_.Send(to, message);
+  while (membership_ && state_.has_unpushed()) {
+    Message message = MakeMessage(Message::Kind::kState);
+    PackedPush push = state_.PackPush(now, RemainingBytes(fleet_, message));
+    if (push.keys.empty()) return;
+    message.state = std::move(push.entries);
+    if (!Push(message)) return;
+    state_.MarkPushed(push.keys);
+  }
+}
+
+// False if there are receivers and it could be sent to none of them.
+bool StateGossip::Push(const Message& message) {
+  const std::vector<Udp::endpoint> receivers = membership_->Sample(kPushFanout);
+  const auto sent = std::count_if(receivers.begin(), receivers.end(), [&](const Udp::endpoint& receiver) {
+    return sender_.TrySend(receiver, message);
+  });
+  return sent > 0 || receivers.empty();
 }
 
 void StateGossip::AttachState(UnixMs now, Message* message) {
@@ -139,8 +152,9 @@
   PushNewEntries(now);
 }
 
-void StateGossip::Announce(UnixMs now, FencedValue fenced) {
-  if (state_.Write(now, std::move(fenced))) PushNewEntries(now);
+void StateGossip::Announce(UnixMs now, std::vector<FencedValue> values) {
+  for (FencedValue& fenced : values) state_.Write(now, std::move(fenced));
+  PushNewEntries(now);
 }
 
 }  // namespace load_balancer::fleet
--- a/src/fleet/state/gossip.h
+++ b/src/fleet/state/gossip.h
@@ -26,6 +26,9 @@
    public:
     virtual ~MessageSender() = default;
     virtual void Send(const Udp::endpoint& to, const Message& message) = 0;
+    /// Sends a message of replicated state, which can wait. False, and nothing is sent, if the bandwidth that
+    /// is left is reserved for other messages.
+    [[nodiscard]] virtual bool TrySend(const Udp::endpoint& to, const Message& message) = 0;
   };
 
   /// `name` is this member's. `host` and `sender` outlive this.
@@ -42,10 +45,14 @@
   /// Adds entries as far as there is room, or, to a sync, the digests of all entries.
   void AttachState(UnixMs now, Message* message);
 
+  /// Sends what the bandwidth limit has held back of entries that are to be pushed. To be called now and
+  /// then.
+  void ContinuePush(UnixMs now) { PushNewEntries(now); }
+
   /// Writes an entry of this member and disseminates it. An affinity waits for a message that has room.
   void Announce(UnixMs now, Ejection ejection);
   void Announce(UnixMs now, KeyAffinity affinity) { state_.Write(now, std::move(affinity)); }
-  void Announce(UnixMs now, FencedValue fenced);
+  void Announce(UnixMs now, std::vector<FencedValue> values);
 
   SharedState& state() { return state_; }
 
@@ -53,6 +60,7 @@
   Message MakeMessage(Message::Kind kind) const;
   std::size_t RemainingStateBytes() const;
   void PushNewEntries(UnixMs now);
+  bool Push(const Message& message);
   void AnswerSync(UnixMs now, const Message& message);
   void AnswerDigest(UnixMs now, const Message& message);
   void SendDiffering(UnixMs now, const Udp::endpoint& to, const BucketDigests& theirs);
--- a/src/fleet/state/state.cpp
+++ b/src/fleet/state/state.cpp
@@ -5,7 +5,6 @@
 #include <optional>
 
 #include "fleet/state/anti_entropy.h"
-#include "fleet/state/dissemination.h"
 #include "fleet/state/entry_codec.h"
 
 namespace load_balancer::fleet {
@@ -42,6 +41,7 @@
     const bool is_highest = tokens_.Raise(fenced->duty, fenced->token, MillisecondsOf(entry.version.stamp));
     if (is_highest) store_.EraseFencedBelow(fenced->duty, fenced->token);
   }
+  if (!std::holds_alternative<KeyAffinity>(entry.content)) unpushed_.insert(KeyOf(entry));
   const UnixMs expires_at = ExpiresAt(options_, entry);
   store_.Put(std::move(entry), expires_at);
 }
@@ -74,29 +74,23 @@
   if (IsFault(rejection)) host_.OnRejected(subject, origin, rejection);
 }
 
-bool SharedState::Receive(UnixMs now, const json& entries) {
+void SharedState::Receive(UnixMs now, const json& entries) {
   Expire(now);
-  bool has_new = false;
-  if (!entries.is_array()) {
-    Reject("", "", EntryRejection::kMalformed);
-    return has_new;
-  }
+  if (!entries.is_array()) return Reject("", "", EntryRejection::kMalformed);
   for (const json& packed : entries) {
     if (const auto entry = Unpack(packed))
-      ReceiveEntry(now, *entry, &has_new);
+      ReceiveEntry(now, *entry);
     else
       Reject("", "", EntryRejection::kMalformed);
   }
-  return has_new;
 }
 
-void SharedState::ReceiveEntry(UnixMs now, const Entry& entry, bool* has_new) {
+void SharedState::ReceiveEntry(UnixMs now, const Entry& entry) {
   if (const auto rejection = Validator().ValidateReceived(now, entry)) {
     Reject(SubjectOf(entry), entry.version.origin, *rejection);
     return;
   }
   clock_.Observe(entry.version.stamp);
-  if (!std::holds_alternative<KeyAffinity>(entry.content)) *has_new = true;
   Store(entry);
   host_.OnAccepted(entry);
 }
@@ -106,9 +100,14 @@
   return PackAndCountPending(&store_, max_bytes, max_transmits);
 }
 
-json SharedState::PackPush(UnixMs now, std::size_t max_bytes) {
+PackedPush SharedState::PackPush(UnixMs now, std::size_t max_bytes) {
   Expire(now);
-  return PackPending(store_, max_bytes);
+  std::erase_if(unpushed_, [this](const EntryKey& key) { return !store_.Find(key); });
+  return PackKeys(store_, unpushed_, max_bytes);
+}
+
+void SharedState::MarkPushed(const std::vector<EntryKey>& keys) {
+  for (const EntryKey& key : keys) unpushed_.erase(key);
 }
 
 std::vector<json> SharedState::PackAll(UnixMs now, std::size_t max_bytes) {
--- a/src/fleet/state/state.h
+++ b/src/fleet/state/state.h
@@ -12,10 +12,12 @@
 #include <cstddef>
 #include <cstdint>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "fleet/state/dissemination.h"
 #include "fleet/state/entry.h"
 #include "fleet/state/entry_rejection.h"
 #include "fleet/state/entry_store.h"
@@ -49,15 +51,19 @@
   void Write(UnixMs now, KeyAffinity affinity);
   bool Write(UnixMs now, FencedValue fenced);
 
-  /// Takes an array of packed entries. True if an ejection or a fenced value among them was new.
-  bool Receive(UnixMs now, const nlohmann::json& entries);
+  /// Takes an array of packed entries.
+  void Receive(UnixMs now, const nlohmann::json& entries);
 
   /// Packs entries for a message that is sent anyway: those that have been sent fewer than `max_transmits`
   /// times, in at most `max_bytes`.
   nlohmann::json PackPiggyback(UnixMs now, std::size_t max_bytes, int max_transmits);
-  /// Packs the same entries for an immediate push to several members. A push does not count as a
+  /// Whether an ejection or a fenced value has come that was not pushed yet.
+  bool has_unpushed() const { return !unpushed_.empty(); }
+  /// Packs such entries, in at most `max_bytes`, for a push to several members. The push does not count as a
   /// transmission, since one local fault may lose all of its datagrams.
-  nlohmann::json PackPush(UnixMs now, std::size_t max_bytes);
+  PackedPush PackPush(UnixMs now, std::size_t max_bytes);
+  /// The entries need not be packed for a push again, unless they change.
+  void MarkPushed(const std::vector<EntryKey>& keys);
   /// Packs all entries, in arrays of at most `max_bytes` each.
   std::vector<nlohmann::json> PackAll(UnixMs now, std::size_t max_bytes);
   /// See anti_entropy.h. `listed` is what Receive has just taken.
@@ -93,13 +99,14 @@
   Version NextVersion(UnixMs now);
   void Expire(UnixMs now);
   void Store(Entry entry);
-  void ReceiveEntry(UnixMs now, const Entry& entry, bool* has_new);
+  void ReceiveEntry(UnixMs now, const Entry& entry);
   void Reject(const std::string& subject, const std::string& origin, EntryRejection rejection);
 
   const StateOptions options_;
   Host& host_;
   HybridClock clock_;
   EntryStore store_;
+  std::set<EntryKey> unpushed_;
   FencingTokens tokens_;
   std::array<std::uint64_t, kEntryRejections> rejected_{};
 };
--- a/src/proxy/fleet_link/discovery_duty.cpp
+++ b/src/proxy/fleet_link/discovery_duty.cpp
@@ -56,7 +56,9 @@
 // A new holder says everything anew, under its own token.
 void DiscoveryDuty::OnLeaseStatus() {
   if (!fleet_.Does(fleet::kDiscoveryDuty)) return discovery_.Pause();
-  for (const auto& [id, member] : known_) Publish(id);
+  std::vector<std::string> ids;
+  for (const auto& [id, member] : known_) ids.push_back(id);
+  Publish(ids);
   Watch();
 }
 
@@ -83,25 +85,29 @@
   if (!fleet_.node()) return;
   revision_ = list.revision;
   std::unordered_set<std::string> named;
+  std::vector<std::string> changed;
   for (const Member& member : list.members) {
     named.insert(member.id);
     known_[member.id] = member;
-    Publish(member.id);
+    changed.push_back(member.id);
   }
-  if (!list.complete) return;
   for (auto& [id, member] : known_) {
-    if (named.contains(id) || member.state == ServerState::kGone) continue;
+    if (!list.complete || named.contains(id) || member.state == ServerState::kGone) continue;
     member.state = ServerState::kGone;
-    Publish(id);
+    changed.push_back(id);
   }
+  Publish(changed);
 }
 
-void DiscoveryDuty::Publish(const std::string& id) {
+void DiscoveryDuty::Publish(const std::vector<std::string>& ids) {
   const auto proof = fleet_.node()->ProveLease(fleet::kDiscoveryDuty);
   if (!proof) return;
-  const auto published = fleet_.node()->Publish(
-      *proof, "server/" + id,
-      {{"revision", revision_}, {"members", nlohmann::json::array({ToJson(known_.at(id))})}}, kFactLasts);
+  std::vector<fleet::NamedValue> values;
+  for (const std::string& id : ids)
+    values.push_back(
+        {"server/" + id,
+         {{"revision", revision_}, {"members", nlohmann::json::array({ToJson(known_.at(id))})}}});
+  const auto published = fleet_.node()->Publish(*proof, std::move(values), kFactLasts);
   if (!published) log::Warn("fleet", published.error());
 }
 
--- a/src/proxy/fleet_link/discovery_duty.h
+++ b/src/proxy/fleet_link/discovery_duty.h
@@ -45,7 +45,8 @@
  private:
   void OnNews(const MemberList& list);
   void Record(const MemberList& list);
-  void Publish(const std::string& id);
+  // The entries of these servers, as far as this process holds the duty's lease.
+  void Publish(const std::vector<std::string>& ids);
 
   ModuleDriver& module_;
   ServerDirectory& servers_;
--- a/tests/fleet/lease_test.cpp
+++ b/tests/fleet/lease_test.cpp
@@ -63,7 +63,7 @@
 
 class Leased : public ::testing::Test {
  protected:
-  Leased() : discovery(ListJson(50, true, Members(MemberJson("s-1", server.address())))) {}
+  explicit Leased(int servers = 1) : discovery(ListJson(50, true, Servers(servers))) {}
 
   // All five are seeds, so that all vote.
   std::unique_ptr<Cluster> Start() {
@@ -118,6 +118,14 @@
     }
   }
 
+  // The entries s-1 to s-N of a list, all of one server.
+  std::vector<nlohmann::json> Servers(int count) {
+    std::vector<nlohmann::json> servers;
+    for (int i = 1; i <= count; ++i)
+      servers.push_back(MemberJson("s-" + std::to_string(i), server.address()));
+    return servers;
+  }
+
   // The member's file of maintenance comes to name the server.
   static bool WaitUntilOut(Cluster& cluster, std::size_t member) {
     const auto until = std::chrono::steady_clock::now() + kBound;
@@ -148,6 +156,31 @@
   ExpectOneHolderAtATime();
 }
 
+class LeasedWithALongList : public Leased {
+ protected:
+  static constexpr int kServers = 200;
+  LeasedWithALongList() : Leased(kServers) {}
+
+  // All servers and the announcements of both leases.
+  static bool WaitForAll(Cluster& cluster, std::size_t member) {
+    const std::string all = "facts=" + std::to_string(kServers + 2) + ",";
+    const auto until = std::chrono::steady_clock::now() + kBound;
+    while (std::chrono::steady_clock::now() < until) {
+      if (Call(cluster[member].operators, "STATE").find(all) != std::string::npos) return true;
+      std::this_thread::sleep_for(milliseconds(10));
+    }
+    return false;
+  }
+};
+
+// Guards against the holder's list using up the bytes a second that probes and leases need, too.
+TEST_F(LeasedWithALongList, ItReachesAllAndHoldsBackNeitherProbesNorLeases) {
+  const auto cluster = Start();
+  for (std::size_t i = 0; i < 5; ++i) EXPECT_TRUE(WaitForAll(*cluster, i)) << i;
+  for (std::size_t i = 0; i < 5; ++i) EXPECT_EQ(cluster->Counted(i, "throttled"), 0u) << i;
+  EXPECT_EQ(cluster->Count(" state=dead "), 0u);
+}
+
 TEST_F(Leased, AKilledHolderIsReplacedInTimeWithALargerToken) {
   const auto cluster = Start();
   const std::size_t holder = WaitForHolder(*cluster, {0, 0, 0, 0, 0}, {0, 1, 2, 3, 4});
