--- a/src/policy/balancer.cpp
+++ b/src/policy/balancer.cpp
@@ -76,9 +76,10 @@
     servers_.HandleNewSettings();
   }
 
-  // What a former process has learned is taken over only where nothing was learned here.
+  // What a former process has learned is taken over only where nothing was learned here, and only if it has
+  // served anything.
   void HandleEvent(const LearnedRates& event) {
-    if (traffic_.has_attempts()) return;
+    if (traffic_.has_attempts() || event.responses_per_ms <= 0) return;
     traffic_.Restore(event);
     slow_start_.RestoreWarmRate(event.warm_work_per_ms);
   }
--- a/src/state/snapshot_writer.cpp
+++ b/src/state/snapshot_writer.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr char kComponent[] = "state";
+constexpr std::chrono::milliseconds kFirstInterval{500};  // doubled with each snapshot
 
 void LogRejectedFile(const std::string& path, SnapshotRejection rejection) {
   log::Warn(kComponent,
@@ -26,7 +27,7 @@
 }  // namespace
 
 SnapshotWriter::SnapshotWriter(boost::asio::io_context& io, SnapshotWriterOptions options)
-    : options_(std::move(options)), timer_(io) {}
+    : options_(std::move(options)), timer_(io), next_interval_(std::min(kFirstInterval, options_.interval)) {}
 
 SnapshotWriter::~SnapshotWriter() { writer_.join(); }
 
@@ -52,7 +53,8 @@
 }
 
 void SnapshotWriter::ScheduleWrite() {
-  timer_.expires_after(options_.interval);
+  timer_.expires_after(next_interval_);
+  next_interval_ = std::min(2 * next_interval_, options_.interval);
   timer_.async_wait([this](const boost::system::error_code& cancelled) {
     if (cancelled) return;
     Write();
--- a/src/state/snapshot_writer.h
+++ b/src/state/snapshot_writer.h
@@ -40,7 +40,8 @@
 
   /// The body of the newest acceptable snapshot. Logs it and each file that is rejected.
   std::optional<nlohmann::json> Recover();
-  /// Writes what `collect` returns at each interval from now on; it is called from the event loop.
+  /// Writes what `collect` returns at each interval from now on, and sooner at first, as a process may be
+  /// replaced while it is young. `collect` is called from the event loop.
   void Start(Collect collect);
 
  private:
@@ -52,6 +53,7 @@
   boost::asio::thread_pool writer_{1};
   std::atomic<bool> is_writing_ = false;
   std::uint64_t sequence_ = 0;  // of the last snapshot
+  std::chrono::milliseconds next_interval_;
   Collect collect_;
 };
 
--- a/tests/policy/fleet_events_test.cpp
+++ b/tests/policy/fleet_events_test.cpp
@@ -119,6 +119,24 @@
   EXPECT_EQ(next.learned_rates().responses_per_ms, rates.responses_per_ms);
 }
 
+// Guards against a predecessor without traffic making its successor learn more slowly than a new proxy.
+TEST(Restart, RatesOfAProcessThatServedNothingAreIgnored) {
+  const auto learned = [](bool restores) {
+    Rig rig;
+    rig.Servers(2);
+    if (restores) rig.Handle(LearnedRates{});
+    for (int i = 0; i < 50; ++i) {
+      const RequestId id = next_id++;
+      const ServerId server = *rig.Send(id, 0, 10, 900);
+      rig.now += 10;
+      rig.EndAttempt(id, 0, server, Outcome::kOk);
+    }
+    return rig.learned_rates().responses_per_ms;
+  };
+  EXPECT_GT(learned(false), 0);
+  EXPECT_EQ(learned(true), learned(false));
+}
+
 TEST(ServerConcurrencyLimit, NoServerHasMoreInFlight) {
   Rig rig;
   rig.Servers(1);
--- a/tests/state/recovery_test.cpp
+++ b/tests/state/recovery_test.cpp
@@ -194,6 +194,19 @@
   }
 }
 
+// Guards against a process that is replaced within its first interval leaving its successor nothing that it
+// has learned, so that the successor sheds requests that it could serve.
+TEST_F(Recovering, AYoungProcessLeavesASnapshotToTheNextOne) {
+  config["state"] = {{"snapshot_interval_ms", 3600000}};
+  Fleet fleet(load_balancer::testing::kProxyPath);
+  Member& member = fleet[fleet.Start(config)];
+  const auto until = std::chrono::steady_clock::now() + kBound;
+  while (!std::filesystem::exists(SnapshotOf(member)) && std::chrono::steady_clock::now() < until)
+    std::this_thread::sleep_for(milliseconds(5));
+  fleet.Restart(0);
+  EXPECT_TRUE(member.process->WaitFor("recovered sequence="));
+}
+
 TEST_F(Recovering, ABadFileIsOneLineAndACleanStart) {
   Fleet fleet(load_balancer::testing::kProxyPath);
   Member& member = fleet[fleet.Start(config)];
