--- a/bench/spill_gossip.cpp
+++ b/bench/spill_gossip.cpp
@@ -6,7 +6,6 @@
 // sites.
 #include <CLI/CLI.hpp>
 #include <algorithm>
-#include <cmath>
 #include <cstdio>
 #include <deque>
 #include <queue>
@@ -15,8 +14,8 @@
 #include <string>
 #include <vector>
 
-#include "fleet/message.h"
-#include "fleet/state.h"
+#include "fleet/state/state.h"
+#include "fleet/wire/codec.h"
 #include "spill/estimate.h"
 
 namespace {
@@ -25,7 +24,7 @@
 using fleet::UnixMs;
 
 constexpr UnixMs kStart = 1800000000000;
-constexpr int kFanout = 3, kRetransmitMultiplier = 4;
+constexpr std::size_t kPushFanout = 3;
 constexpr char kPool[] = "flintspar-sites";
 
 struct Member : fleet::SharedState::Host {
@@ -67,7 +66,8 @@
         under_way_.pop();
         Member& member = members_[parcel.to];
         member.now = parcel.at;
-        if (member.state.Receive(parcel.at, parcel.entries)) Push(parcel.to, parcel.at);
+        member.state.Receive(parcel.at, parcel.entries);
+        Push(parcel.to, parcel.at);
       }
     }
   }
@@ -100,24 +100,40 @@
     Push(site * gateways_, now);
   }
 
+  // What is new to the member, to a few others.
   void Push(std::size_t from, UnixMs now) {
+    Member& member = members_[from];
+    while (member.state.has_unpushed()) {
+      fleet::Message message = MakeMessage(from);
+      fleet::PackedPush push = member.state.PackPush(now, fleet::RemainingBytes(kPool, message));
+      if (push.keys.empty()) return;
+      message.state = std::move(push.entries);
+      for (const std::size_t to : DrawReceivers(from)) Send(from, to, now, message);
+      member.state.MarkPushed(push.keys);
+    }
+  }
+
+  static fleet::Message MakeMessage(std::size_t from) {
     fleet::Message message;
     message.kind = fleet::Message::Kind::kState;
     message.sender = {
         "gateway-" + std::to_string(from), {boost::asio::ip::make_address("10.0.0.1"), 7900}, {}, 1, ""};
-    const int transmits = kRetransmitMultiplier *
-                          static_cast<int>(std::ceil(std::log10(static_cast<double>(members_.size() + 1))));
-    std::set<std::size_t> told{from};
-    while (told.size() < std::min<std::size_t>(kFanout + 1, members_.size())) {
+    return message;
+  }
+
+  std::set<std::size_t> DrawReceivers(std::size_t from) {
+    std::set<std::size_t> receivers;
+    while (receivers.size() < std::min(kPushFanout, members_.size() - 1)) {
       const std::size_t to = random_() % members_.size();
-      if (!told.insert(to).second) continue;
-      message.state =
-          members_[from].state.PackPiggyback(now, fleet::RemainingBytes(kPool, message), transmits);
-      members_[from].bytes += fleet::Encode(kPool, message).size();
-      const bool lost = std::uniform_real_distribution<double>(0, 1)(random_) < loss_;
-      if (!lost) under_way_.push({now + way_ / 2 + random_() % way_, ++order_, to, std::move(message.state)});
-      message.state = nullptr;
+      if (to != from) receivers.insert(to);
     }
+    return receivers;
+  }
+
+  void Send(std::size_t from, std::size_t to, UnixMs now, const fleet::Message& message) {
+    members_[from].bytes += fleet::Encode(kPool, message).size();
+    const bool is_lost = std::uniform_real_distribution<double>(0, 1)(random_) < loss_;
+    if (!is_lost) under_way_.push({now + way_ / 2 + random_() % way_, ++order_, to, message.state});
   }
 
   const std::size_t sites_, gateways_;
