--- a/model/fleet/member.cpp
+++ b/model/fleet/member.cpp
@@ -135,6 +135,11 @@
 void PoolMember::Send(const Endpoint& to, const Message& message) {
   Message whole = message;
   gossip_.AttachState(host_.Wall(), &whole);
+  // As fleet::Transport: piggybacked state can wait.
+  if (!whole.state.is_null()) {
+    if (TrySend(to, whole)) return;
+    whole.state = nullptr;
+  }
   const std::size_t bytes = EncodedSize(whole);
   if (budget_.TrySpend(host_.Now(), bytes)) return Deliver(to, std::move(whole), bytes);
   ++throttled_;
--- a/src/fleet/node/transport.cpp
+++ b/src/fleet/node/transport.cpp
@@ -97,7 +97,14 @@
   log::Warn(options_.component, Failure(kBandwidthLimitReached, FormatThrottleCounters(counters_)));
 }
 
+// Piggybacked state can wait, as a push can: where only reserved bytes are left, the message goes without it.
 void Transport::Send(const Udp::endpoint& to, const Message& message) {
+  if (!message.state.is_null()) {
+    if (TrySend(to, message)) return;
+    Message without_state = message;
+    without_state.state = nullptr;
+    return Send(to, without_state);
+  }
   const auto datagram = Encode(options_.fleet, message);
   if (budget_.TrySpend(Steady::now(), datagram.size())) return Deliver(to, message, datagram);
   ++counters_.throttled;
