Keep a request's own rules when a reload comes while its body is being received

Cause: the head is parsed by the configuration in force then, which gives the index of the class and of the tenant.

Change: a request carries RequestRules, those of its class and the number of attempts as its head was complete. One that comes to the module under later settings brings them along, and its class and tenant are looked up by name for statistics and quota. The proxy keeps no index for later: the check of the number of attempts, and overflow to other sites, use the same rules.

--- a/include/load_balancer/balancer.h
+++ b/include/load_balancer/balancer.h
@@ -13,6 +13,7 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -98,6 +99,12 @@
   Duration overload_window{0};
 };
 
+/// RequestRules holds the settings that apply to a request from its arrival to its final response.
+struct RequestRules {
+  ClassSettings class_settings;
+  int max_attempts = 1;
+};
+
 enum class ServerState { kGone, kReady, kDraining };
 
 /// ListKind states what a ListUpdate contains.
@@ -149,9 +156,9 @@
 /// RequestReceived reports that a client has sent a request.
 struct RequestReceived {
   RequestId request = 0;
-  TimePoint due{};  ///< the client's deadline
-  int request_class = 0;
-  int tenant = 0;
+  TimePoint due{};        ///< the client's deadline
+  int request_class = 0;  ///< index in the current settings; -1 if they do not have the class
+  int tenant = 0;         ///< index in the current settings; -1 if they do not have the tenant
   std::uint64_t key = 0;  ///< session key; 0 if the request has none
   bool has_hint = false;  ///< whether work_ms is set
   bool client_retry = false;
@@ -162,6 +169,9 @@
   /// permits it and no request of this site is queued; otherwise it is rejected at once. It is never queued
   /// or retried, and no quota is charged for it.
   bool is_overflow = false;
+  /// The rules of a request that began under previous settings and arrives under the current ones. Empty for
+  /// other requests, which the rules of the current settings apply to.
+  std::optional<RequestRules> previous_rules{};
 };
 
 /// BodyReceived reports that the body of a request with RequestReceived::is_body_pending is complete.
@@ -213,7 +223,7 @@
   int processes = 1;
 };
 
-/// NewSettings replaces the settings. Open requests keep the previous rules of their class.
+/// NewSettings replaces the settings. Open requests keep their RequestRules.
 struct NewSettings {
   std::shared_ptr<const Settings> settings;
   /// The index that each class and each tenant of the new settings had before; -1 if it is new.
--- a/src/policy/admission.cpp
+++ b/src/policy/admission.cpp
@@ -77,13 +77,13 @@
   if (service_time > rules.latency_objective) traffic_.ReduceTimePerWork();
 }
 
-Duration Admission::ElapsedBeforeArrival(const RequestReceived& received, ClassStatistics& statistics) const {
+Duration Admission::ElapsedBeforeArrival(const RequestReceived& received, const Request& request) const {
   if (received.is_body_pending || received.is_overflow) return Duration(0);
   const Duration remaining = received.due - context_.now();
-  const bool is_usual = statistics.usual_timeout.Observe(remaining, received.client_retry);
-  if (!statistics.usual_timeout.is_established()) return Duration(0);
-  const Duration deadline = context_.settings().classes[received.request_class].deadline;
-  const Duration max_elapsed = std::max(Duration(0), deadline - remaining);
+  UsualTimeout& usual_timeout = request.statistics->usual_timeout;
+  const bool is_usual = usual_timeout.Observe(remaining, received.client_retry);
+  if (!usual_timeout.is_established()) return Duration(0);
+  const Duration max_elapsed = std::max(Duration(0), request.rules.deadline - remaining);
   if (!is_usual) return max_elapsed;
   return received.client_retry ? max_elapsed * kRetryElapsedShare : Duration(0);
 }
--- a/src/policy/request_lifecycle.cpp
+++ b/src/policy/request_lifecycle.cpp
@@ -44,14 +44,13 @@
 
 void RequestLifecycle::Receive(const RequestReceived& received) {
   if (requests_.contains(received.request)) return;
-  const Settings& settings = context_.settings();
+  const std::optional<RequestRules> rules = RulesFor(received);
   // The rules of an unknown class are not known. The request has not run, so it may be rejected.
-  if (received.request_class < 0 || received.request_class >= static_cast<int>(settings.classes.size()))
-    return context_.Emit(Reject{received.request, Duration(0)});
-  Request request = NewRequest(received);
+  if (!rules) return context_.Emit(Reject{received.request, Duration(0)});
+  Request request = NewRequest(received, *rules);
   ClassStatistics& statistics = *request.statistics;
   const Duration objective =
-      request.rules.latency_objective - admission_.ElapsedBeforeArrival(received, statistics);
+      request.rules.latency_objective - admission_.ElapsedBeforeArrival(received, request);
   SetWork(received, &request);
   traffic_.RecordArrival(request);
   admission_.SetValue(received, objective, &request);
@@ -59,14 +58,32 @@
   const MeanAndDeviation& latency = statistics.latency;
   const Duration max_useful_wait = objective - Duration(latency.mean() + latency.deviation());
   const Duration max_queued = std::max(max_useful_wait, request.rules.latency_objective * kMinQueueShare);
-  request.reject_at = std::min(request.due - settings.tick * kReplyTicks, context_.now() + max_queued);
+  request.reject_at =
+      std::min(request.due - context_.settings().tick * kReplyTicks, context_.now() + max_queued);
   if (request.is_overflow) request.reject_at = context_.now();
   Request& stored = requests_.emplace(request.id, std::move(request)).first->second;
   TryDispatch(stored);
   EraseIfComplete(stored);
 }
 
-Request RequestLifecycle::NewRequest(const RequestReceived& received) const {
+bool RequestLifecycle::HasClass(int request_class) const {
+  return request_class >= 0 && request_class < static_cast<int>(classes_.size());
+}
+
+// Returns the rules that apply to the request, or nothing if its class is unknown.
+std::optional<RequestRules> RequestLifecycle::RulesFor(const RequestReceived& received) const {
+  if (received.previous_rules) return received.previous_rules;
+  if (!HasClass(received.request_class)) return std::nullopt;
+  const Settings& settings = context_.settings();
+  return RequestRules{settings.classes[received.request_class], settings.max_attempts};
+}
+
+// Returns the statistics of the class. A class that the current settings do not have starts without any.
+std::shared_ptr<ClassStatistics> RequestLifecycle::StatisticsFor(int request_class) const {
+  return HasClass(request_class) ? classes_[request_class] : std::make_shared<ClassStatistics>();
+}
+
+Request RequestLifecycle::NewRequest(const RequestReceived& received, const RequestRules& rules) const {
   Request request;
   request.id = received.request;
   request.key = received.key;
@@ -74,9 +91,9 @@
   request.is_overflow = received.is_overflow;
   request.arrived = context_.now();
   request.due = received.due;
-  request.rules = context_.settings().classes[received.request_class];
-  request.statistics = classes_[received.request_class];
-  request.max_attempts = received.is_overflow ? 1 : context_.settings().max_attempts;
+  request.rules = rules.class_settings;
+  request.statistics = StatisticsFor(received.request_class);
+  request.max_attempts = received.is_overflow ? 1 : rules.max_attempts;
   return request;
 }
 
--- a/src/policy/request_lifecycle.h
+++ b/src/policy/request_lifecycle.h
@@ -5,6 +5,7 @@
 #define LOAD_BALANCER_SRC_POLICY_REQUEST_LIFECYCLE_H_
 
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -53,7 +54,10 @@
   SpareCapacity EstimateSpareCapacity(TimePoint now) const;
 
  private:
-  Request NewRequest(const RequestReceived& received) const;
+  [[nodiscard]] bool HasClass(int request_class) const;
+  [[nodiscard]] std::optional<RequestRules> RulesFor(const RequestReceived& received) const;
+  [[nodiscard]] std::shared_ptr<ClassStatistics> StatisticsFor(int request_class) const;
+  [[nodiscard]] Request NewRequest(const RequestReceived& received, const RequestRules& rules) const;
   void SetWork(const RequestReceived& received, Request* request);
   Request* Find(RequestId id);
   static Attempt* FindAttempt(Request* request, int attempt);
--- a/src/proxy/config.cpp
+++ b/src/proxy/config.cpp
@@ -51,6 +51,11 @@
   KeepToOneLineEach(&faults_);
 }
 
+int IndexOf(const std::vector<std::string>& names, std::string_view name) {
+  const auto found = std::find(names.begin(), names.end(), name);
+  return found == names.end() ? -1 : static_cast<int>(found - names.begin());
+}
+
 Config ParseConfig(std::string_view text, const Environment& env) {
   std::vector<std::string> faults;
   Config config = ReadConfig(ParseObject(text), env, &faults);
--- a/src/proxy/config.h
+++ b/src/proxy/config.h
@@ -59,6 +59,9 @@
   std::shared_ptr<const nlohmann::json> file;  // without what is known
 };
 
+// Returns the index of `name` in one of a configuration's lists of names, or -1 if it is not in the list.
+int IndexOf(const std::vector<std::string>& names, std::string_view name);
+
 // `text` is the configuration file; what the environment names goes before it.
 using Environment = std::function<const char*(const char*)>;
 Config ParseConfig(std::string_view text, const Environment& env);
--- a/src/proxy/core/pending.h
+++ b/src/proxy/core/pending.h
@@ -14,7 +14,6 @@
 #include "body.h"
 #include "clients.h"
 #include "clock.h"
-#include "config.h"
 #include "load_balancer/balancer.h"
 #include "quota/account.h"
 #include "request.h"
@@ -26,7 +25,7 @@
   std::shared_ptr<const HttpRequest> message;
   Buffers::Reservation hold;         // of its body; or
   std::shared_ptr<BodySource> body;  // what follows of it
-  std::shared_ptr<const Config> config;
+  RequestRules rules;
   Steady::time_point due{};
   std::shared_ptr<Responder> responder;  // null once answered
   std::uint64_t key = 0;
--- a/src/proxy/core/requests.cpp
+++ b/src/proxy/core/requests.cpp
@@ -17,16 +17,27 @@
          outcome == Outcome::kNotSent;
 }
 
+// Sets the indices of the request's class and tenant. The module knows only the current settings, in which
+// the names that the request was parsed with may have other indices and rules, or be missing.
+void SetClassAndTenant(const ClientRequest& request, const Config& current, RequestReceived* received) {
+  received->request_class = request.request_class;
+  received->tenant = request.tenant;
+  if (request.config.get() == &current) return;
+  received->request_class = IndexOf(current.classes, request.class_name());
+  received->tenant = IndexOf(current.tenants, request.tenant_name());
+  received->previous_rules = request.rules();
+}
+
 }  // namespace
 
-RequestId Requests::OnRequest(ClientRequest&& request, std::shared_ptr<Responder>&& responder) {
+RequestId Requests::OnRequest(ClientRequest&& request, const Config& current,
+                              std::shared_ptr<Responder>&& responder) {
   const RequestId id = pending_.NextId();
   const ModuleClock& clock = module_.clock();
   RequestReceived received;
   received.request = id;
   received.due = clock.At(request.due);
-  received.request_class = request.request_class;
-  received.tenant = request.tenant;
+  SetClassAndTenant(request, current, &received);
   received.key = request.key;
   received.has_hint = request.has_hint;
   received.client_retry = request.client_retry;
@@ -38,7 +49,7 @@
   pending.hold = std::move(request.reservation);
   pending.key = request.key;
   pending.body = std::move(request.body);
-  pending.config = std::move(request.config);
+  pending.rules = request.rules();
   pending.due = request.due;
   pending.responder = std::move(responder);
   pending.received = received;
@@ -74,7 +85,7 @@
   // Numbered by the order of their Dispatch; one that cannot go out is over at once, and never ran.
   const int attempt = pending ? pending->attempts++ : 0;
   if (!pending || !pending->responder || pending->attempt_out || now >= pending->due ||
-      attempt >= pending->config->settings.max_attempts) {
+      attempt >= pending->rules.max_attempts) {
     AttemptEnded end;
     end.request = action.request;
     end.attempt = attempt;
--- a/src/proxy/core/requests.h
+++ b/src/proxy/core/requests.h
@@ -34,7 +34,8 @@
   Requests& operator=(const Requests&) = delete;
 
   // As the clients' side tells (RequestHandler).
-  RequestId OnRequest(ClientRequest&& request, std::shared_ptr<Responder>&& responder);
+  // `current` is the configuration that the module has.
+  RequestId OnRequest(ClientRequest&& request, const Config& current, std::shared_ptr<Responder>&& responder);
   void OnUploaded(RequestId request, Steady::time_point due);
   void OnClientGone(RequestId request);
 
--- a/src/proxy/federation/link.cpp
+++ b/src/proxy/federation/link.cpp
@@ -24,8 +24,8 @@
                            RequestReceived* received) {
   received->is_overflow = request.is_overflow;
   if (!federation_ || request.is_overflow || request.config->tenants.empty()) return true;
-  const std::string& owner = request.config->tenants[static_cast<std::size_t>(request.tenant)];
-  const auto charged = federation_->Charge(owner, request.has_hint ? request.work_ms : module_.MeanWork());
+  const auto charged =
+      federation_->Charge(request.tenant_name(), request.has_hint ? request.work_ms : module_.MeanWork());
   pending->charge_receipt = charged.receipt;
   if (charged.verdict != quota::ChargeVerdict::kNoBudget)
     received->quota_status = charged.verdict == quota::ChargeVerdict::kWithinBudget
@@ -49,7 +49,7 @@
   Pending* const pending = pending_.Find(request);
   if (!pending || !pending->responder || pending->body || pending->attempt_out || pending->may_have_run)
     return false;
-  const ClassSettings& rules = pending->config->settings.classes[pending->received.request_class];
+  const ClassSettings& rules = pending->rules.class_settings;
   const auto span = [](Duration d) { return std::chrono::duration_cast<Span>(d); };
   const TimePoint now = module_.Now();
   overflow::RejectedRequest refused;
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -27,10 +27,7 @@
 // Of each name now, its index before; -1 if it had none.
 std::vector<int> IndicesBefore(const std::vector<std::string>& before, const std::vector<std::string>& now) {
   std::vector<int> indices;
-  for (const std::string& name : now) {
-    const auto found = std::find(before.begin(), before.end(), name);
-    indices.push_back(found == before.end() ? -1 : static_cast<int>(found - before.begin()));
-  }
+  for (const std::string& name : now) indices.push_back(IndexOf(before, name));
   return indices;
 }
 
@@ -112,7 +109,7 @@
 }
 
 RequestId Proxy::OnRequest(ClientRequest request, std::shared_ptr<Responder> responder) {
-  return requests_.OnRequest(std::move(request), std::move(responder));
+  return requests_.OnRequest(std::move(request), *config_, std::move(responder));
 }
 
 void Proxy::OnUploaded(RequestId request, Steady::time_point due) { requests_.OnUploaded(request, due); }
--- a/src/proxy/request.cpp
+++ b/src/proxy/request.cpp
@@ -29,11 +29,6 @@
 
 std::string_view View(boost::beast::string_view text) { return {text.data(), text.size()}; }
 
-int IndexOf(const std::vector<std::string>& names, std::string_view name) {
-  const auto found = std::find(names.begin(), names.end(), name);
-  return found == names.end() ? -1 : static_cast<int>(found - names.begin());
-}
-
 // Returns the hash of the object id in the cookie `obj`, or 0 if there is none.
 std::uint64_t ObjectKey(boost::beast::string_view cookie) {
   std::string list("; ");
@@ -62,6 +57,20 @@
 
 }  // namespace
 
+RequestRules ClientRequest::rules() const {
+  return {config->settings.classes.at(static_cast<std::size_t>(request_class)),
+          config->settings.max_attempts};
+}
+
+const std::string& ClientRequest::class_name() const {
+  return config->classes.at(static_cast<std::size_t>(request_class));
+}
+
+std::string_view ClientRequest::tenant_name() const {
+  if (config->tenants.empty()) return {};
+  return config->tenants.at(static_cast<std::size_t>(tenant));
+}
+
 std::optional<RequestError> ParseRequest(HttpRequest message, std::shared_ptr<const Config> in_force,
                                          ClientRequest* request) {
   const Config& config = *in_force;
--- a/src/proxy/request.h
+++ b/src/proxy/request.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "body.h"
 #include "clock.h"
@@ -27,13 +28,18 @@
   std::shared_ptr<BodySource> body;  // a streamed body; null if the body is buffered
   Duration client_timeout{0};        // how long the client waits after sending its last byte
   Steady::time_point due{};          // when the response is due
-  int request_class = 0;
-  int tenant = 0;
+  int request_class = 0;             // index in config->classes
+  int tenant = 0;                    // index in config->tenants, if there are any
   std::uint64_t key = 0;
   bool has_hint = false, client_retry = false;
   bool is_overflow = false;              // sent here by the gateway of another site
   double work_ms = 0;                    // from Req-Cost, if has_hint
-  std::shared_ptr<const Config> config;  // the configuration when the request arrived
+  std::shared_ptr<const Config> config;  // the configuration in force when the head was complete
+
+  // The rules that apply to the request whatever configuration comes into force later.
+  RequestRules rules() const;
+  const std::string& class_name() const;
+  std::string_view tenant_name() const;  // empty if the configuration has no tenants
 };
 
 // RequestError is the response to a request that cannot be handled.
--- a/tests/policy/maintenance_test.cpp
+++ b/tests/policy/maintenance_test.cpp
@@ -146,6 +146,72 @@
   EXPECT_EQ(rig.Count<FailRequest>(), 1) << "the class that is not idempotent has index 0 now";
 }
 
+// Returns a request that began under DefaultSettings() in the class `previous_class`, and has the index
+// `class_now` in the settings under which it arrives.
+RequestReceived BegunBefore(RequestId id, int previous_class, int class_now, TimePoint due) {
+  const Settings previous = DefaultSettings();
+  RequestReceived received;
+  received.request = id;
+  received.request_class = class_now;
+  received.due = due;
+  received.previous_rules =
+      RequestRules{previous.classes[static_cast<std::size_t>(previous_class)], previous.max_attempts};
+  return received;
+}
+
+// Guards against a request that began under previous settings and runs twice by the rules of the current
+// ones.
+TEST(SettingsChange, ARequestThatBeganBeforeKeepsTheRulesOfItsClass) {
+  for (const int class_now : {-1, 0, 1, 7}) {
+    Rig rig;
+    rig.Servers(3);
+    rig.Handle(Change({-1, -1}));
+    rig.Handle(BegunBefore(1, 2, class_now, At(rig.now + 1000)));
+    const auto first = rig.SentTo(1);
+    ASSERT_TRUE(first) << class_now;
+    rig.EndAttempt(1, 0, *first, Outcome::kReset);
+    EXPECT_FALSE(rig.SentTo(1)) << class_now;
+    EXPECT_EQ(rig.Count<FailRequest>(), 1) << class_now;
+  }
+}
+
+TEST(SettingsChange, ARequestThatBeganBeforeIsRepeatedAsItsClassAllows) {
+  Rig rig;
+  rig.Servers(3);
+  rig.Handle(Change({2, 2}, 1));
+  rig.Handle(BegunBefore(1, 0, 0, At(rig.now + 1000)));
+  const auto first = rig.SentTo(1);
+  ASSERT_TRUE(first);
+  rig.EndAttempt(1, 0, *first, Outcome::kReset);
+  EXPECT_TRUE(rig.SentTo(1)) << "its class was idempotent, with four attempts";
+}
+
+TEST(SettingsChange, ARequestThatBeganBeforeKeepsItsRulesOverAFurtherChange) {
+  Rig rig;
+  rig.Servers(3);
+  rig.Handle(Change({0, 1}));
+  rig.Handle(BegunBefore(1, 2, -1, At(rig.now + 1000)));
+  const auto first = rig.SentTo(1);
+  ASSERT_TRUE(first);
+  rig.Handle(Change({0}));
+  rig.EndAttempt(1, 0, *first, Outcome::kReset);
+  EXPECT_FALSE(rig.SentTo(1));
+  EXPECT_EQ(rig.Count<FailRequest>(), 1);
+}
+
+// A request in the admission queue waits for capacity while the settings change.
+TEST(SettingsChange, AQueuedRequestKeepsTheRulesOfItsClass) {
+  Rig rig;
+  ASSERT_FALSE(rig.Send(1, 2)) << "no server is listed yet";
+  rig.Handle(Change({0, 0, 0}));
+  rig.Servers(3);
+  const auto first = rig.SentTo(1);
+  ASSERT_TRUE(first);
+  rig.EndAttempt(1, 0, *first, Outcome::kReset);
+  EXPECT_FALSE(rig.SentTo(1));
+  EXPECT_EQ(rig.Count<FailRequest>(), 1);
+}
+
 TEST(SettingsChange, ARequestOfADroppedClassIsFinished) {
   Rig rig;
   rig.Servers(3);
