Frame a streamed request body by what was read, not by the client's headers

Callers saw: a request that no client had sent reached a backend.

Cause: the headers that Connection names are removed, as they must be. A body over 64 KiB is streamed, and there the Content-Length of the client's head was relied on; only chunks were set anew. So the head said nothing of the body that followed.

Evidence, one run each on the code before: the raw bytes at the backend, on one connection, the second request without the Req-Deadline-Ms that the proxy adds, rule out that the proxy itself reads two requests. 65,537 bytes arrive as two requests, 65,536, which are buffered and counted, as one; 96 KiB in chunks with Transfer-Encoding named, and 96 KiB with X-Foo named, arrive whole.

Change: the framing of a streamed body is set from what the reader has found, as a buffered one's was already. So no header of the client can part a head from its body, whether it is named, repeated or spelled otherwise: "Content-Length: 98304, 98304" was forwarded as it stood, and is not any more.

--- a/src/proxy/client/session.cpp
+++ b/src/proxy/client/session.cpp
@@ -26,6 +26,16 @@
 constexpr std::chrono::milliseconds kResponseReserve{
     150};  // responses are due this long before the deadline of a stop
 
+// Sets the headers that frame a streamed body to what the reader has found. The client's own headers may be
+// missing, as its Connection header can name them, or may be read in another way by the server.
+void SetFraming(const boost::optional<std::uint64_t>& length, HttpRequest* message) {
+  if (length) {
+    message->content_length(length);
+  } else {
+    message->chunked(true);
+  }
+}
+
 }  // namespace
 
 Clients::Session::Session(Clients& owner, Tcp::socket socket)
@@ -242,7 +252,7 @@
     return Write(PlainReply(http::status::bad_request, "a body where none belongs\n"));
   }
   body_is_streaming_ = true;
-  if (!reader_.content_length()) incoming_.message.chunked(true);
+  SetFraming(reader_.content_length(), &incoming_.message);
   incoming_.reservation.Release();
   incoming_.body = shared_from_this();
   Submit();
--- /dev/null
+++ b/tests/client/connection_options_test.cpp
@@ -0,0 +1,121 @@
+// SPDX-License-Identifier: Apache-2.0
+//
+// Requests whose Connection header names other headers. Whatever it names, a server receives the request that
+// the client sent, with its whole body, and nothing else.
+#include <gtest/gtest.h>
+
+#include <sstream>
+
+#include "loopback.h"
+
+namespace load_balancer::testing {
+namespace {
+
+constexpr std::size_t kSmallBytes = 2 * 1024, kLargeBytes = 96 * 1024;  // buffered, and streamed
+
+std::string Chunked(const std::string& body) {
+  std::ostringstream chunk;
+  chunk << std::hex << body.size() << "\r\n" << body << "\r\n0\r\n\r\n";
+  return chunk.str();
+}
+
+// Returns a body that begins with the text of a request.
+std::string BodyLikeARequest(std::size_t size) {
+  std::string body = Post("book", "Req-Owner: somebody\r\n", "");
+  body.resize(size, 'x');
+  return body;
+}
+
+struct Options {
+  const char* name;
+  std::string headers;  // the Connection headers
+};
+
+void PrintTo(const Options& options, std::ostream* out) { *out << options.name; }
+
+std::vector<Options> ConnectionHeaders() {
+  return {{"Length", "Connection: Content-Length\r\n"},
+          {"LengthInLowerCase", "Connection: content-length\r\n"},
+          {"LengthInAList", "Connection: keep-alive , Content-Length,X-Hop\r\n"},
+          {"LengthInASecondHeader", "Connection: keep-alive\r\nConnection: Content-Length\r\n"},
+          {"Coding", "Connection: Transfer-Encoding\r\n"},
+          {"LengthAndCoding", "Connection: Content-Length, Transfer-Encoding\r\n"},
+          {"Itself", "Connection: Connection, Content-Length\r\n"},
+          {"Type", "Connection: Content-Type\r\n"}};
+}
+
+struct Framing {
+  const char* name;
+  std::size_t size;
+  bool chunked;
+};
+
+void PrintTo(const Framing& framing, std::ostream* out) { *out << framing.name; }
+
+constexpr Framing kFramings[] = {{"Small", kSmallBytes, false},
+                                 {"SmallChunked", kSmallBytes, true},
+                                 {"Large", kLargeBytes, false},
+                                 {"LargeChunked", kLargeBytes, true}};
+
+using Case = std::tuple<Options, Framing>;
+
+class ConnectionOptions : public ::testing::TestWithParam<Case> {};
+
+// Guards against a body that a server reads as requests because its framing was removed from the head.
+TEST_P(ConnectionOptions, LeaveTheBodyPartOfItsRequest) {
+  const auto& [options, framing] = GetParam();
+  Backend backend;
+  FakeDiscovery discovery;
+  RunningProxy proxy(ConfigJson(discovery.address(), Members(MemberJson("s-1", backend.address()))));
+  const std::string body = BodyLikeARequest(framing.size);
+  const std::string header = framing.chunked ? "Transfer-Encoding: chunked\r\n"
+                                             : "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  Client client(proxy.address);
+  const auto response =
+      client.Ask("POST /book HTTP/1.1\r\nHost: x\r\nReq-Id: sent\r\nX-Hop: 1\r\n" + options.headers + header +
+                 "\r\n" + (framing.chunked ? Chunked(body) : body));
+  EXPECT_EQ(response.result_int(), 200u);
+  // A connection of the proxy to the server ends before the server has read all that was written to it.
+  EXPECT_EQ(client.Ask(Look()).result_int(), 200u);
+  const std::vector<HttpRequest> received = backend.seen.Get().requests;
+  ASSERT_EQ(received.size(), 2u);
+  EXPECT_EQ(received[0]["Req-Id"], "sent");
+  EXPECT_TRUE(received[0].body() == body);
+  EXPECT_EQ(
+      received[0].count(http::field::content_length) + received[0].count(http::field::transfer_encoding), 1u);
+  EXPECT_EQ(received[1].target(), "/look/it?page=2");
+}
+
+std::string CaseName(const ::testing::TestParamInfo<Case>& info) {
+  return std::string(std::get<0>(info.param).name) + std::get<1>(info.param).name;
+}
+INSTANTIATE_TEST_SUITE_P(Requests, ConnectionOptions,
+                         ::testing::Combine(::testing::ValuesIn(ConnectionHeaders()),
+                                            ::testing::ValuesIn(kFramings)),
+                         CaseName);
+
+// Guards against a server that reads the length in another way than the proxy has.
+TEST(ContentLength, IsForwardedAsTheProxyHasReadIt) {
+  for (const std::size_t size : {kSmallBytes, kLargeBytes}) {
+    const std::string body(size, 'b'), length = std::to_string(size);
+    for (const std::string& headers :
+         {"Content-Length: 0" + length + "\r\n", "Content-Length: " + length + ", " + length + "\r\n",
+          "Content-Length: " + length + "\r\nContent-Length: " + length + "\r\n"}) {
+      Backend backend;
+      FakeDiscovery discovery;
+      RunningProxy proxy(ConfigJson(discovery.address(), Members(MemberJson("s-1", backend.address()))));
+      Client client(proxy.address);
+      const auto response =
+          client.Ask("POST /book HTTP/1.1\r\nHost: x\r\nReq-Id: 1\r\n" + headers + "\r\n" + body);
+      EXPECT_EQ(response.result_int(), 200u) << headers;
+      const std::vector<HttpRequest> received = backend.seen.Get().requests;
+      ASSERT_EQ(received.size(), 1u) << headers;
+      EXPECT_EQ(received[0].count(http::field::content_length), 1u) << headers;
+      EXPECT_EQ(received[0][http::field::content_length], length) << headers;
+      EXPECT_TRUE(received[0].body() == body) << headers;
+    }
+  }
+}
+
+}  // namespace
+}  // namespace load_balancer::testing
