Heed every Connection header, not only the first

Backends saw headers that were meant for the connection to the proxy alone: of several Connection headers only the first was read, so what the others name was forwarded.

Cause: the value was looked up as if the header could come once; RFC 9110, 5.2, joins them to one list. Change: the options of all Connection headers are read.

Test: HopByHopHeaders.ThatAnyConnectionHeaderNamesAreNotForwarded fails before and passes now.

--- a/src/proxy/request.cpp
+++ b/src/proxy/request.cpp
@@ -44,11 +44,18 @@
   return target.substr(0, target.find_first_of("/?"));
 }
 
-// Removes the headers that apply to one connection only and must not be forwarded (RFC 7230, section 6.1).
+// Returns the names in all Connection headers of the message.
+std::vector<std::string> ConnectionOptions(const HttpRequest& message) {
+  std::vector<std::string> options;
+  const auto [first, last] = message.equal_range(http::field::connection);
+  for (auto header = first; header != last; ++header)
+    for (const auto& option : http::token_list(header->value())) options.emplace_back(option);
+  return options;
+}
+
+// Removes the headers that apply to one connection only and must not be forwarded (RFC 9110, section 7.6.1).
 void EraseHopByHop(HttpRequest& message) {
-  std::vector<std::string> named;
-  for (const auto& token : http::token_list(message[http::field::connection])) named.emplace_back(token);
-  for (const std::string& name : named) message.erase(name);
+  for (const std::string& name : ConnectionOptions(message)) message.erase(name);
   for (const http::field field :
        {http::field::connection, http::field::keep_alive, http::field::proxy_connection, http::field::te,
         http::field::trailer, http::field::transfer_encoding, http::field::upgrade, http::field::expect})
--- a/tests/client/connection_options_test.cpp
+++ b/tests/client/connection_options_test.cpp
@@ -94,6 +94,20 @@
                                             ::testing::ValuesIn(kFramings)),
                          CaseName);
 
+// Guards against a header that is forwarded although a Connection header after the first one names it.
+TEST(HopByHopHeaders, ThatAnyConnectionHeaderNamesAreNotForwarded) {
+  Backend backend;
+  FakeDiscovery discovery;
+  RunningProxy proxy(ConfigJson(discovery.address(), Members(MemberJson("s-1", backend.address()))));
+  const std::string options = "Connection: keep-alive\r\nConnection: X-One\r\nConnection: X-Two, x-three\r\n";
+  const std::string named = "X-One: 1\r\nX-Two: 2\r\nX-Three: 3\r\n";
+  EXPECT_EQ(Client(proxy.address).Ask(Look(options + named + "X-Four: 4\r\n")).result_int(), 200u);
+  const HttpRequest received = backend.seen.Get().requests.at(0);
+  for (const char* name : {"Connection", "X-One", "X-Two", "X-Three"})
+    EXPECT_EQ(received.count(name), 0u) << name;
+  EXPECT_EQ(received["X-Four"], "4");
+}
+
 // Guards against a server that reads the length in another way than the proxy has.
 TEST(ContentLength, IsForwardedAsTheProxyHasReadIt) {
   for (const std::size_t size : {kSmallBytes, kLargeBytes}) {
