Name the fields of a pending request by what they hold, and split Requests::Do(Dispatch)

PendingRequest, TakeResponder and EraseIfComplete in place of Pending, Conclude and ForgetIfOver; reservation, has_outstanding_attempt, last_attempt, time_to_first_byte and arrived_at in place of hold, attempt_out, attempt, first_bytes and came. Comments of core/pending.h, core/requests.h and federation/link.h in plain English. No behaviour changes; covered by the tests of proxy and federation.

--- a/src/proxy/core/pending.h
+++ b/src/proxy/core/pending.h
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 //
-// The requests that this process holds.
+// The requests that this process has received and not yet completed.
 #ifndef LOAD_BALANCER_PROXY_CORE_PENDING_H_
 #define LOAD_BALANCER_PROXY_CORE_PENDING_H_
 
@@ -20,52 +20,56 @@
 
 namespace load_balancer::proxy {
 
-// From its Submit until it has its answer and no attempt is out.
-struct Pending {
+// PendingRequest is a request that has no final response yet, or that still has an outstanding attempt.
+struct PendingRequest {
   std::shared_ptr<const HttpRequest> message;
-  Buffers::Reservation hold;         // of its body; or
-  std::shared_ptr<BodySource> body;  // what follows of it
+  Buffers::Reservation reservation;  // memory of a completely buffered body
+  std::shared_ptr<BodySource> body;  // a streamed body; null if the body is buffered
   RequestRules rules;
   Steady::time_point due{};
-  std::shared_ptr<Responder> responder;  // null once answered
+  std::shared_ptr<Responder> responder;  // null once the request has its final response
   std::uint64_t key = 0;
-  quota::ChargeReceipt charge_receipt;  // of what was charged to its owner's budget
-  RequestReceived received;             // as the module was told
-  TimePoint came{};
-  int attempts = 0;
-  bool attempt_out = false;
-  AttemptId attempt = 0;         // the last that was sent
-  bool may_have_run = false;     // an attempt that ended, or a neighbour that has it, may have run it
-  Steady::time_point sent_at{};  // the attempt, or the request's last byte
-  Duration first_bytes{0};       // until an answer that is passed on began
+  quota::ChargeReceipt charge_receipt;  // the charge to the tenant's budget
+  RequestReceived received;             // the event that the module got
+  TimePoint arrived_at{};
+  int attempts = 0;  // number of attempts, including those that could not be sent
+  bool has_outstanding_attempt = false;
+  AttemptId last_attempt = 0;
+  bool may_have_run = false;       // an attempt that has ended, or another site, may have run the request
+  Steady::time_point sent_at{};    // when the last attempt or the last byte of the request was sent
+  Duration time_to_first_byte{0};  // of a streamed response; 0 if none has started
 };
 
 class PendingRequests {
  public:
-  // Also for what is answered before it is held.
-  RequestId NextId() { return ++last_; }
-  void Open(RequestId request, Pending pending) { open_.emplace(request, std::move(pending)); }
+  // Returns a new id. A request that is answered before Add has an id as well.
+  RequestId NextId() { return ++last_id_; }
+  void Add(RequestId id, PendingRequest request) { requests_.emplace(id, std::move(request)); }
 
-  // Null if it is not held.
-  Pending* Find(RequestId request) {
-    const auto found = open_.find(request);
-    return found == open_.end() ? nullptr : &found->second;
+  // Returns null if there is no such request.
+  PendingRequest* Find(RequestId id) {
+    const auto found = requests_.find(id);
+    return found == requests_.end() ? nullptr : &found->second;
   }
-  // Ends the request: whoever gets the responder gives the one final answer. Null if it has been given.
-  std::shared_ptr<Responder> Conclude(RequestId request) {
-    Pending* const pending = Find(request);
-    return pending ? std::exchange(pending->responder, nullptr) : nullptr;
+  // Returns the responder, through which the caller gives the final response. Returns null if there is no
+  // such request or if its responder has been taken.
+  std::shared_ptr<Responder> TakeResponder(RequestId id) {
+    PendingRequest* const request = Find(id);
+    return request ? std::exchange(request->responder, nullptr) : nullptr;
   }
-  void ForgetIfOver(RequestId request) {
-    const auto found = open_.find(request);
-    if (found != open_.end() && !found->second.responder && !found->second.attempt_out) open_.erase(found);
+  // Erases the request if its responder has been taken and it has no outstanding attempt.
+  void EraseIfComplete(RequestId id) {
+    const auto found = requests_.find(id);
+    if (found == requests_.end()) return;
+    const PendingRequest& request = found->second;
+    if (!request.responder && !request.has_outstanding_attempt) requests_.erase(found);
   }
 
-  std::size_t size() const { return open_.size(); }
+  std::size_t size() const { return requests_.size(); }
 
  private:
-  RequestId last_ = 0;
-  std::unordered_map<RequestId, Pending> open_;
+  RequestId last_id_ = 0;
+  std::unordered_map<RequestId, PendingRequest> requests_;
 };
 
 }  // namespace load_balancer::proxy
--- a/src/proxy/core/requests.cpp
+++ b/src/proxy/core/requests.cpp
@@ -43,24 +43,24 @@
   received.client_retry = request.client_retry;
   received.work_ms = request.work_ms;
   received.is_body_pending = request.body != nullptr;
-  Pending pending;
+  PendingRequest pending;
   if (!federation_.Admit(request, *responder, &pending, &received)) return id;
   pending.message = std::make_shared<const HttpRequest>(std::move(request.message));
-  pending.hold = std::move(request.reservation);
+  pending.reservation = std::move(request.reservation);
   pending.key = request.key;
   pending.body = std::move(request.body);
   pending.rules = request.rules();
   pending.due = request.due;
   pending.responder = std::move(responder);
   pending.received = received;
-  pending.came = clock.Now();
-  pending_.Open(id, std::move(pending));
+  pending.arrived_at = clock.Now();
+  pending_.Add(id, std::move(pending));
   module_.Feed(received);
   return id;
 }
 
 void Requests::OnUploaded(RequestId request, Steady::time_point due) {
-  Pending* const pending = pending_.Find(request);
+  PendingRequest* const pending = pending_.Find(request);
   if (!pending) return;
   pending->due = due;
   pending->sent_at = Steady::now();
@@ -68,33 +68,26 @@
 }
 
 void Requests::OnClientGone(RequestId request) {
-  if (!pending_.Conclude(request)) return;
-  const Pending& pending = *pending_.Find(request);
+  if (!pending_.TakeResponder(request)) return;
+  const PendingRequest& pending = *pending_.Find(request);
   federation_.CreditIfNotRun(pending);
-  const AttemptId attempt = pending.attempt_out ? pending.attempt : 0;
-  pending_.ForgetIfOver(request);
+  const AttemptId attempt = pending.has_outstanding_attempt ? pending.last_attempt : 0;
+  pending_.EraseIfComplete(request);
   federation_.Gone(request);
   module_.Feed(ClientGone{request});
-  // Nothing may begin for somebody who has left: it may still wait for its connection, or for a slow one.
+  // No server should start a request whose client has gone.
   if (attempt != 0) backends_.CancelIfUnwritten(attempt);
 }
 
 void Requests::Do(const Dispatch& action) {
-  Pending* const pending = pending_.Find(action.request);
+  PendingRequest* const pending = pending_.Find(action.request);
   const auto now = Steady::now();
-  // Numbered by the order of their Dispatch; one that cannot go out is over at once, and never ran.
+  // The module counts each Dispatch as an attempt, also one that cannot be sent.
   const int attempt = pending ? pending->attempts++ : 0;
-  if (!pending || !pending->responder || pending->attempt_out || now >= pending->due ||
-      attempt >= pending->rules.max_attempts) {
-    AttemptEnded end;
-    end.request = action.request;
-    end.attempt = attempt;
-    end.server = action.server;
-    end.is_request_finished = !pending || !pending->responder;
-    end.outcome = Outcome::kNotSent;
-    return module_.Feed(end);
-  }
-  pending->attempt_out = true;
+  const bool may_send = pending && pending->responder && !pending->has_outstanding_attempt &&
+                        now < pending->due && attempt < pending->rules.max_attempts;
+  if (!may_send) return ReportNotSent(action, attempt);
+  pending->has_outstanding_attempt = true;
   pending->sent_at = now;
   Duration timeout = pending->due - now;
   if (action.timeout.count() != 0) timeout = std::clamp(action.timeout, Duration(0), timeout);
@@ -102,16 +95,31 @@
   out.head = pending->message->base();
   out.complete_body = {pending->message, &pending->message->body()};
   out.body = pending->body;
+  if (pending->key != 0 && fleet_.node())
+    fleet_.node()->Announce(fleet::KeyAffinity{pending->key, servers_.numbers().IdOf(action.server)});
+  pending->last_attempt = backends_.Send(action.server, std::move(out), timeout, EventsFor(action, attempt));
+}
+
+void Requests::ReportNotSent(const Dispatch& action, int attempt) {
+  const PendingRequest* const pending = pending_.Find(action.request);
+  AttemptEnded end;
+  end.request = action.request;
+  end.attempt = attempt;
+  end.server = action.server;
+  end.is_request_finished = !pending || !pending->responder;
+  end.outcome = Outcome::kNotSent;
+  module_.Feed(end);
+}
+
+AttemptEvents Requests::EventsFor(const Dispatch& action, int attempt) {
   AttemptEvents events;
   events.stream_started = [this, id = action.request, attempt](ResponseHead head) {
-    OnAttemptBegun(id, attempt, std::move(head));
+    OnStreamStarted(id, attempt, std::move(head));
   };
   events.done = [this, id = action.request, attempt, server = action.server](AttemptResult result) {
     OnAttemptDone(id, attempt, server, std::move(result));
   };
-  if (pending->key != 0 && fleet_.node())
-    fleet_.node()->Announce(fleet::KeyAffinity{pending->key, servers_.numbers().IdOf(action.server)});
-  pending->attempt = backends_.Send(action.server, std::move(out), timeout, std::move(events));
+  return events;
 }
 
 void Requests::Do(const Reject& action) {
@@ -120,18 +128,18 @@
 }
 
 void Requests::Do(const FailRequest& action) {
-  if (const auto responder = pending_.Conclude(action.request)) {
+  if (const auto responder = pending_.TakeResponder(action.request)) {
     federation_.CreditIfNotRun(*pending_.Find(action.request));
     responder->Failed();
   }
-  pending_.ForgetIfOver(action.request);
+  pending_.EraseIfComplete(action.request);
 }
 
-void Requests::OnAttemptBegun(RequestId request, int attempt, ResponseHead head) {
-  const auto responder = pending_.Conclude(request);
+void Requests::OnStreamStarted(RequestId request, int attempt, ResponseHead head) {
+  const auto responder = pending_.TakeResponder(request);
   if (!responder) return head.body->Abandon();
-  Pending& pending = *pending_.Find(request);
-  pending.first_bytes = Steady::now() - pending.sent_at;
+  PendingRequest& pending = *pending_.Find(request);
+  pending.time_to_first_byte = Steady::now() - pending.sent_at;
   module_.Feed(StreamStarted{request, attempt});
   responder->StreamStarted(std::move(head));
 }
@@ -142,22 +150,22 @@
   end.attempt = attempt;
   end.server = server;
   end.outcome = result.outcome;
-  Pending* const pending = pending_.Find(request);
+  PendingRequest* const pending = pending_.Find(request);
   if (pending) {
-    pending->attempt_out = false;
+    pending->has_outstanding_attempt = false;
     pending->may_have_run |= !NeverRan(result.outcome);
-    const bool passed_on = pending->first_bytes.count() > 0;
-    end.took = passed_on ? pending->first_bytes : Duration(Steady::now() - pending->sent_at);
+    const bool was_streamed = pending->time_to_first_byte.count() > 0;
+    end.took = was_streamed ? pending->time_to_first_byte : Duration(Steady::now() - pending->sent_at);
     end.is_replayable = !pending->body || !pending->body->HasStarted();
   }
   if (result.outcome == Outcome::kOk) {
-    if (const auto responder = pending_.Conclude(request))
+    if (const auto responder = pending_.TakeResponder(request))
       responder->Served(std::move(result.response), std::move(result.reservation));
   }
   end.is_request_finished = !pending || !pending->responder;
   if (pending && end.is_request_finished)
-    federation_.CreditIfNotRun(*pending);  // its client left before it could run
-  pending_.ForgetIfOver(request);
+    federation_.CreditIfNotRun(*pending);  // the client left before the request could run
+  pending_.EraseIfComplete(request);
   module_.Feed(end);
 }
 
--- a/src/proxy/core/requests.h
+++ b/src/proxy/core/requests.h
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 //
-// The life of a request, from its client's last word to its one answer, and its attempts between.
+// Requests passes requests to the decision module, and carries out the module's actions on them.
 #ifndef LOAD_BALANCER_PROXY_CORE_REQUESTS_H_
 #define LOAD_BALANCER_PROXY_CORE_REQUESTS_H_
 
@@ -21,7 +21,7 @@
 
 class Requests {
  public:
-  // All that is given outlives the last call; it need not be made yet.
+  // The arguments must outlive this object. They may be constructed after it.
   Requests(ModuleDriver& module, PendingRequests& pending, const ServerDirectory& servers, Backends& backends,
            FleetLink& fleet, FederationLink& federation)
       : module_(module),
@@ -33,19 +33,21 @@
   Requests(const Requests&) = delete;
   Requests& operator=(const Requests&) = delete;
 
-  // As the clients' side tells (RequestHandler).
-  // `current` is the configuration that the module has.
+  // Events of client connections; see RequestHandler. `current` is the configuration whose settings the
+  // module has.
   RequestId OnRequest(ClientRequest&& request, const Config& current, std::shared_ptr<Responder>&& responder);
   void OnUploaded(RequestId request, Steady::time_point due);
   void OnClientGone(RequestId request);
 
-  // What the module has decided.
+  // Carry out actions of the module.
   void Do(const Dispatch& action);
   void Do(const Reject& action);
   void Do(const FailRequest& action);
 
  private:
-  void OnAttemptBegun(RequestId request, int attempt, ResponseHead head);
+  void ReportNotSent(const Dispatch& action, int attempt);
+  AttemptEvents EventsFor(const Dispatch& action, int attempt);
+  void OnStreamStarted(RequestId request, int attempt, ResponseHead head);
   void OnAttemptDone(RequestId request, int attempt, ServerId server, AttemptResult result);
 
   ModuleDriver& module_;
--- a/src/proxy/federation/link.cpp
+++ b/src/proxy/federation/link.cpp
@@ -20,7 +20,7 @@
   if (config.spill.on) module_.Feed(OverflowShare{config.spill.options.offered_fraction});
 }
 
-bool FederationLink::Admit(const ClientRequest& request, Responder& responder, Pending* pending,
+bool FederationLink::Admit(const ClientRequest& request, Responder& responder, PendingRequest* pending,
                            RequestReceived* received) {
   received->is_overflow = request.is_overflow;
   if (!federation_ || request.is_overflow || request.config->tenants.empty()) return true;
@@ -39,15 +39,16 @@
   return false;
 }
 
-void FederationLink::CreditIfNotRun(const Pending& pending) {
-  if (federation_ && !pending.attempt_out && !pending.may_have_run)
+void FederationLink::CreditIfNotRun(const PendingRequest& pending) {
+  if (federation_ && !pending.has_outstanding_attempt && !pending.may_have_run)
     federation_->Credit(pending.charge_receipt);
 }
 
 bool FederationLink::Spill(RequestId request, Duration retry_after) {
   if (!spill()) return false;
-  Pending* const pending = pending_.Find(request);
-  if (!pending || !pending->responder || pending->body || pending->attempt_out || pending->may_have_run)
+  PendingRequest* const pending = pending_.Find(request);
+  if (!pending || !pending->responder || pending->body || pending->has_outstanding_attempt ||
+      pending->may_have_run)
     return false;
   const ClassSettings& rules = pending->rules.class_settings;
   const auto span = [](Duration d) { return std::chrono::duration_cast<Span>(d); };
@@ -55,7 +56,7 @@
   overflow::RejectedRequest refused;
   refused.request = request;
   refused.idempotency = rules.idempotency;
-  refused.latency_objective_left = span(pending->came + rules.latency_objective - now);
+  refused.latency_objective_left = span(pending->arrived_at + rules.latency_objective - now);
   refused.deadline_left = pending->due - Steady::now();
   refused.work_ms = pending->received.has_hint ? pending->received.work_ms : module_.MeanWork();
   refused.priority_weight = rules.priority_weight;
@@ -63,22 +64,22 @@
   refused.within_budget = pending->received.quota_status != QuotaStatus::kOverQuota;
   refused.forwarded = pending->received.is_overflow;
   refused.retry_after = span(retry_after);
-  pending->may_have_run = true;  // until it comes back as refused
+  pending->may_have_run = true;  // until the other sites have rejected it
   spill()->Offer(refused, pending->message);
   return true;
 }
 
 void FederationLink::OnSpillRefused(RequestId request, Duration retry_after) {
-  if (Pending* const pending = pending_.Find(request)) pending->may_have_run = false;
+  if (PendingRequest* const pending = pending_.Find(request)) pending->may_have_run = false;
   AnswerRefused(request, retry_after);
 }
 
 void FederationLink::AnswerRefused(RequestId request, Duration retry_after) {
-  if (const auto responder = pending_.Conclude(request)) {
+  if (const auto responder = pending_.TakeResponder(request)) {
     CreditIfNotRun(*pending_.Find(request));
     responder->Rejected(retry_after);
   }
-  pending_.ForgetIfOver(request);
+  pending_.EraseIfComplete(request);
 }
 
 void FederationLink::Gone(RequestId request) {
@@ -96,20 +97,20 @@
 load_balancer::SpareCapacity FederationLink::SpareNow() const { return module_.EstimateSpareCapacity(); }
 
 void FederationLink::OnSpillBegun(RequestId request, ResponseHead head) {
-  const auto responder = pending_.Conclude(request);
+  const auto responder = pending_.TakeResponder(request);
   responder ? responder->StreamStarted(std::move(head)) : head.body->Abandon();
-  pending_.ForgetIfOver(request);
+  pending_.EraseIfComplete(request);
 }
 
 void FederationLink::OnSpillServed(RequestId request, HttpResponse answer, Buffers::Reservation hold) {
-  if (const auto responder = pending_.Conclude(request))
+  if (const auto responder = pending_.TakeResponder(request))
     responder->Served(std::move(answer), std::move(hold));
-  pending_.ForgetIfOver(request);
+  pending_.EraseIfComplete(request);
 }
 
 void FederationLink::OnSpillFailed(RequestId request) {
-  if (const auto responder = pending_.Conclude(request)) responder->Failed();
-  pending_.ForgetIfOver(request);
+  if (const auto responder = pending_.TakeResponder(request)) responder->Failed();
+  pending_.EraseIfComplete(request);
 }
 
 }  // namespace load_balancer::proxy
--- a/src/proxy/federation/link.h
+++ b/src/proxy/federation/link.h
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 //
-// Requests between the module and the federation: charged when they come, offered to neighbours when the
-// module has refused them, credited back when they have not run.
+// FederationLink connects the requests of this proxy with the federation: it charges them to their tenants'
+// budgets, returns the charge of requests that did not run, and offers rejected requests to other sites.
 #ifndef LOAD_BALANCER_PROXY_FEDERATION_LINK_H_
 #define LOAD_BALANCER_PROXY_FEDERATION_LINK_H_
 
@@ -24,38 +24,41 @@
 
 class FederationLink : private SpillHost {
  public:
-  // Both outlive the last call; they need not be made yet.
+  // The arguments must outlive this object. They may be constructed after it.
   FederationLink(ModuleDriver& module, PendingRequests& pending) : module_(module), pending_(pending) {}
   FederationLink(const FederationLink&) = delete;
   FederationLink& operator=(const FederationLink&) = delete;
 
-  // With a section `sites`. `votes` is the file for this voter's votes, `site` the site's own fleet;
-  // `backends` tells how many connections there may be to servers. All but `config` outlives this.
+  // Joins the federation if the configuration has the section `sites`. `votes` is the file for the votes of
+  // this process, `site` is the fleet of this site, and `backends` returns the limit of connections to
+  // servers. All arguments but `config` must outlive this object.
   void Begin(boost::asio::io_context& io, const Config& config, const std::string& votes, fleet::Node* site,
              std::function<std::size_t()> backends, Buffers& buffers);
   void End() { federation_.reset(); }
 
-  // Null where the configuration has no section `sites`, before Begin and after End.
+  // Returns null if the configuration has no section `sites`, before Begin and after End.
   Federation* federation() { return federation_.get(); }
   const Federation* federation() const { return federation_.get(); }
 
-  // Charges the request to its owner's budget. False if it has had its answer: that budget is used up and
-  // refuses.
-  bool Admit(const ClientRequest& request, Responder& responder, Pending* pending, RequestReceived* received);
-  // Gives the charge back unless an attempt, or a neighbour, may have run the request.
-  void CreditIfNotRun(const Pending& pending);
-  // Offers what the module has refused; false if it is not to be had whole, or may have run here.
+  // Charges the request to its tenant's budget. Returns false if the budget is exceeded and the request has
+  // been answered for that reason.
+  bool Admit(const ClientRequest& request, Responder& responder, PendingRequest* pending,
+             RequestReceived* received);
+  // Returns the charge unless an attempt or another site may have run the request.
+  void CreditIfNotRun(const PendingRequest& pending);
+  // Offers a request that the module has rejected to other sites. Returns false if its body is not buffered
+  // or if it may have run here.
   bool Spill(RequestId request, Duration retry_after);
-  // The final answer to what nobody takes.
+  // Answers a request that no site accepts.
   void AnswerRefused(RequestId request, Duration retry_after);
-  // Its client is not there any more.
+  // Handles the end of the client's connection.
   void Gone(RequestId request);
 
-  // Of requests that neighbours have spilled here, as RequestHandler says.
+  // See RequestHandler::TakeOverflowMark and RequestHandler::EstimateText.
   bool TakeMark(HttpRequest* message, const boost::asio::ip::address& peer);
   std::string EstimateText() const;
 
-  // To neighbours' gateways.
+  // Returns the number of connections to gateways of other sites.
   std::size_t connections() const;
 
  private:
