--- a/tests/client/connection_options_test.cpp
+++ b/tests/client/connection_options_test.cpp
@@ -94,6 +94,41 @@
                                             ::testing::ValuesIn(kFramings)),
                          CaseName);
 
+// A request either arrives as it was sent or is refused, whichever of its headers Connection names.
+TEST(NamedHeaders, EachIsRemovedWithTheRequestWholeOrTheRequestIsRefused) {
+  const std::vector<std::string> names = {
+      "Host",       "Req-Id",    "Req-Kind",        "Req-Owner",        "Req-Deadline-Ms",
+      "Req-Cost",   "Req-Retry", "Idempotency-Key", "Cookie",           "Content-Type",
+      "Keep-Alive", "TE",        "Trailer",         "Upgrade",          "Connection",
+      "Req-Extra",  "X-Other",   "Content-Length",  "Transfer-Encoding"};
+  std::string others = "Keep-Alive: timeout=5\r\nTE: trailers\r\nTrailer: X\r\nUpgrade: h2c\r\n";
+  others += "Content-Type: text/plain\r\nReq-Extra: a=1\r\nX-Other: 1\r\nReq-Owner: acme\r\nReq-Retry: 1\r\n";
+  others += "Req-Deadline-Ms: 20000\r\nReq-Cost: 100\r\nIdempotency-Key: 7e\r\nCookie: obj=1\r\n";
+  for (const std::string& name : names) {
+    for (const std::size_t size : {kSmallBytes, kLargeBytes}) {
+      SCOPED_TRACE(name + " with " + std::to_string(size) + " bytes");
+      Backend backend;
+      FakeDiscovery discovery;
+      RunningProxy proxy(ConfigJson(discovery.address(), Members(MemberJson("s-1", backend.address()))));
+      const std::string body = BodyLikeARequest(size);
+      const unsigned status = Client(proxy.address)
+                                  .Ask(Post("change", others + "Connection: " + name + "\r\n", body))
+                                  .result_int();
+      EXPECT_EQ(Client(proxy.address).Ask(Look()).result_int(), 200u);
+      const std::vector<HttpRequest> received = backend.seen.Get().requests;
+      if (status != 200) {
+        EXPECT_EQ(status / 100, 4u);
+        EXPECT_EQ(received.size(), 1u) << "the second request alone";
+        continue;
+      }
+      ASSERT_EQ(received.size(), 2u);
+      EXPECT_EQ(received[0].target(), "/change");
+      EXPECT_EQ(received[0]["Idempotency-Key"], "7e");
+      EXPECT_TRUE(received[0].body() == body);
+    }
+  }
+}
+
 // Guards against a header that is forwarded although a Connection header after the first one names it.
 TEST(HopByHopHeaders, ThatAnyConnectionHeaderNamesAreNotForwarded) {
   Backend backend;
