--- a/src/proxy/core/actions.h
+++ b/src/proxy/core/actions.h
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 //
-// What the module has decided goes to the parts that carry it out.
+// Actions passes each action of the decision module to the component that carries it out.
 #ifndef LOAD_BALANCER_PROXY_CORE_ACTIONS_H_
 #define LOAD_BALANCER_PROXY_CORE_ACTIONS_H_
 
@@ -18,7 +18,7 @@
 
 class Actions {
  public:
-  // All that is given outlives the last call; it need not be made yet.
+  // The arguments must outlive this object. They may be constructed after it.
   Actions(const ModuleDriver& module, const ServerDirectory& servers, Requests& requests, Backends& backends,
           OwnVerdicts& verdicts, DiscoveryDuty& discovery, FleetLink& fleet)
       : module_(module),
@@ -31,7 +31,7 @@
   Actions(const Actions&) = delete;
   Actions& operator=(const Actions&) = delete;
 
-  // Anything but a timer, which is the driver's own. May feed the driver at once.
+  // Carries out any action but SetTimer, which ModuleDriver handles. May feed events to the driver.
   void CarryOut(const Action& action);
 
  private:
--- a/src/proxy/core/door.cpp
+++ b/src/proxy/core/door.cpp
@@ -13,14 +13,18 @@
 namespace load_balancer::proxy {
 namespace {
 
-constexpr Duration kStopGrace{600};  // connections go on coming for up to 400 ms after SIGTERM
-// A request may be on its way to what stands idle; beside another process there is time to let it come.
+// How long new connections are still accepted after SIGTERM. Clients may connect for up to 400 ms.
+constexpr Duration kStopGrace{600};
+// The same if another process accepts the new connections.
+constexpr Duration kReplacedGrace{50};
+// How long a connection must have been idle to be closed at a stop, since a request may be on its way.
 constexpr Duration kStopIdle{500}, kReplacedIdle{2000};
-constexpr Duration kReplacedGrace{50};  // none come where another process takes them
+// SIGKILL comes this long after SIGTERM at the earliest: the longest deadline, within a limit, and a margin.
 constexpr Duration kLongestToEnd{3000}, kEndMargin{700};
-constexpr std::chrono::seconds kFreshList{3};  // what a second process waits for discovery
+// How long a process that replaces another one waits for discovery before it listens.
+constexpr std::chrono::seconds kFreshList{3};
 
-// When SIGKILL may follow SIGTERM.
+// Returns the time from SIGTERM to the earliest SIGKILL.
 Duration TimeToEnd(const Settings& settings) {
   Duration longest{0};
   for (const ClassSettings& c : settings.classes) longest = std::max(longest, c.deadline);
@@ -48,7 +52,7 @@
   if (!clients_.Listening()) OpenWhenListed();
 }
 
-// Beside another process of this proxy, its clients are not to notice this one before it has fresh news.
+// During a hot restart, clients should not reach the new process before it has a current list.
 void Door::OpenWhenListed() {
   if (!servers_.AnyListed() || clients_.Stopping()) return;
   clients_.Open();
--- a/src/proxy/core/door.h
+++ b/src/proxy/core/door.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 //
-// Whether clients may come: from the first list to the stop, beside another process of this proxy or alone.
+// Door decides when this process accepts clients: from the first endpoint list until the stop, alone or
+// during a hot restart.
 #ifndef LOAD_BALANCER_PROXY_CORE_DOOR_H_
 #define LOAD_BALANCER_PROXY_CORE_DOOR_H_
 
@@ -18,27 +19,29 @@
 
 class Door {
  public:
-  // All that is given outlives this.
+  // All arguments must outlive this object.
   Door(boost::asio::io_context& io, Clients& clients, HotRestart& hot_restart,
        const ServerDirectory& servers);
 
-  // Listens at once, or beside another process of this proxy once the list is fresh.
+  // Starts to listen: at once, or, during a hot restart, when discovery has answered or a time limit has
+  // passed.
   void Begin();
-  // Fresh news have come.
+  // Handles a list from discovery.
   void OnList();
 
+  // Returns whether this process accepts clients.
   bool Taking() const;
-  // To clients all processes of this proxy are one.
+  // Returns whether this process or the one that replaces it accepts clients.
   bool Open() const;
-  // Makes Taking known to the other process.
+  // Publishes Taking() to the other process of a hot restart.
   void Tell();
 
   void Drain();
   void Rejoin();
-  // For good; `done` is called when nothing is held any more.
+  // Stops for good. Calls `done` when no request is pending.
   void Stop(const Settings& settings, std::function<void()> done);
 
-  // What an operator is told who asks.
+  // The state as reported to operators.
   enum class State { kTaking, kStopping, kDraining, kUnlisted, kStarting };
   State state() const;
 
--- a/src/proxy/core/limits.cpp
+++ b/src/proxy/core/limits.cpp
@@ -11,14 +11,13 @@
 namespace load_balancer::proxy {
 namespace {
 
-// Descriptors: what is neither a client's nor a backend's, and the clients' part of the rest.
-constexpr int kOtherDescriptors = 40;
-constexpr double kClientShare = 0.6;
-constexpr double kLeastShare = 8;
+constexpr int kOtherDescriptors = 40;  // descriptors used for neither clients nor servers, per process
+constexpr double kClientShare = 0.6;   // the clients' share of the other descriptors
+constexpr double kMinConnections = 8;  // minimum of each limit, so that no process is locked out
 
-// What others leave of a limit, and a little: nobody is shut out for good.
+// Returns what the other process leaves of a limit.
 std::size_t Rest(double limit, std::size_t others) {
-  return static_cast<std::size_t>(std::max(limit - static_cast<double>(others), kLeastShare));
+  return static_cast<std::size_t>(std::max(limit - static_cast<double>(others), kMinConnections));
 }
 
 }  // namespace
--- a/src/proxy/core/limits.h
+++ b/src/proxy/core/limits.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 //
-// The descriptors that the processes of this proxy share, for clients and for backends.
+// Limits divides the descriptors of this proxy between clients and servers, and between the processes of a
+// hot restart.
 #ifndef LOAD_BALANCER_PROXY_CORE_LIMITS_H_
 #define LOAD_BALANCER_PROXY_CORE_LIMITS_H_
 
@@ -17,8 +18,8 @@
 
 class Limits {
  public:
-  // `sockets` is the descriptors that one process may hold. All else outlives the last call; it need not be
-  // made yet.
+  // `sockets` is the number of descriptors that one process may hold. The other arguments must outlive this
+  // object. They may be constructed after it.
   Limits(int sockets, HotRestart& hot_restart, const Buffers& buffers, Clients& clients, Backends& backends,
          const FederationLink& federation)
       : sockets_(sockets),
@@ -28,12 +29,12 @@
         backends_(backends),
         federation_(federation) {}
 
-  // Connections that this process may have now.
+  // Return the present limits of this process on connections.
   std::size_t MostClients() const;
   std::size_t MostBackends() const;
 
-  // Tells the other process what this one holds. Two processes have the limits of one: what stands idle over
-  // a fair share is closed for the other.
+  // Publishes the usage of this process. Two processes share the limits of one: each closes idle connections
+  // beyond its fair share.
   void Share(int processes);
 
  private:
--- a/src/proxy/core/module_driver.cpp
+++ b/src/proxy/core/module_driver.cpp
@@ -19,10 +19,10 @@
                            Actions& actions)
     : actions_(actions), balancer_(settings, seed), armed_for_(kUnarmed), timer_(io) {}
 
-// The only caller of Handle. An action may bring about an event at once: it waits its turn here, so that
-// Handle is never entered while its actions are being carried out.
+// Balancer::Handle must not be called again while its actions are carried out, so an event that an action
+// causes waits in the queue.
 void ModuleDriver::Feed(Event event) {
-  // News of the list go before what waits: a request must not be sent by an older list than has been told.
+  // A list goes before the other queued events, as no request may be dispatched by an older list.
   if (std::holds_alternative<ListUpdate>(event)) {
     const auto first_other = std::find_if(events_.begin(), events_.end(), [](const Event& e) {
       return !std::holds_alternative<ListUpdate>(e);
@@ -32,7 +32,7 @@
     events_.push_back(std::move(event));
   }
   if (handling_) return;
-  // Guards against a fault while actions are carried out leaving the proxy deaf: the next event goes on.
+  // Resets the flag also after an exception, as no event would be handled otherwise.
   struct Handling {
     explicit Handling(bool& flag) : flag(flag) { flag = true; }
     ~Handling() { flag = false; }
@@ -62,8 +62,8 @@
   }
 }
 
-// Guards against a timer that the module thinks has not come yet: rounding may wake this a moment early, and
-// the module would not ask again.
+// Rounding may end the wait too early. TimerFired is fed only at or after the timer's time, as the module
+// would not set the timer again.
 void ModuleDriver::ArmTimer() {
   if (timers_.empty() || timers_.begin()->first >= armed_for_) return;
   armed_for_ = timers_.begin()->first;
--- a/src/proxy/core/module_driver.h
+++ b/src/proxy/core/module_driver.h
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 //
-// The Balancer on this machine's clock: events one after the other, its timers, its actions to who carries
-// them out.
+// ModuleDriver runs the Balancer in real time: it queues the events, sets the timers and passes on the
+// actions.
 #ifndef LOAD_BALANCER_PROXY_CORE_MODULE_DRIVER_H_
 #define LOAD_BALANCER_PROXY_CORE_MODULE_DRIVER_H_
 
@@ -20,18 +20,19 @@
 
 class ModuleDriver {
  public:
-  // `actions` outlives this, and is not called before the first Feed.
+  // `actions` must outlive this object and is not used before the first Feed.
   ModuleDriver(boost::asio::io_context& io, const Settings& settings, std::uint64_t seed, Actions& actions);
   ModuleDriver(const ModuleDriver&) = delete;
   ModuleDriver& operator=(const ModuleDriver&) = delete;
 
-  // Carries out what the module makes of the event before it returns; from within an action, soon after.
+  // Handles an event and carries out the resulting actions before it returns. An event that an action causes
+  // is queued and handled after the actions of the present event.
   void Feed(Event event);
 
   const ModuleClock& clock() const { return clock_; }
   TimePoint Now() const { return clock_.Now(); }
   LearnedRates learned_rates() const { return balancer_.learned_rates(); }
-  // Of a request without a hint, in ms on a standard core: the mean of those answered.
+  // Returns the mean work of the requests served, in ms on a standard core; 1 if it is unknown.
   double MeanWork() const;
   load_balancer::SpareCapacity EstimateSpareCapacity() const {
     return balancer_.EstimateSpareCapacity(Now());
--- a/src/proxy/core/server_directory.cpp
+++ b/src/proxy/core/server_directory.cpp
@@ -57,7 +57,7 @@
   return entry;
 }
 
-// A zone that the settings don't name is a zone of its own, none of those that they do.
+// A zone that is not in the settings gets an index of its own, derived from its name.
 int ServerDirectory::ZoneOf(const std::string& name) const {
   const auto found = std::find(zones_.begin(), zones_.end(), name);
   if (found != zones_.end()) return static_cast<int>(found - zones_.begin());
--- a/src/proxy/core/server_directory.h
+++ b/src/proxy/core/server_directory.h
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 //
-// What lists say of servers, for the module and for the connections.
+// ServerDirectory applies endpoint lists to the decision module and to the connection pool.
 #ifndef LOAD_BALANCER_PROXY_CORE_SERVER_DIRECTORY_H_
 #define LOAD_BALANCER_PROXY_CORE_SERVER_DIRECTORY_H_
 
@@ -19,7 +19,8 @@
 
 class ServerDirectory {
  public:
-  // `zones` and `kinds` are the settings' names. All else outlives the last call; it need not be made yet.
+  // `zones` and `kinds` are the names in the settings. The other arguments must outlive this object. They may
+  // be constructed after it.
   ServerDirectory(std::vector<std::string> zones, std::vector<std::string> kinds, ModuleDriver& module,
                   Backends& backends, OwnVerdicts& verdicts);
   ServerDirectory(const ServerDirectory&) = delete;
@@ -27,13 +28,13 @@
 
   void Take(const MemberList& list, ListKind kind);
 
-  // Some list has had a server.
+  // Returns whether any list so far contained a server.
   bool AnyListed() const { return listed_; }
-  // In discovery's list now.
+  // Returns whether the current list contains the server.
   bool Listed(const std::string& server) const { return in_list_.contains(server); }
 
   const ServerNumbers& numbers() const { return numbers_; }
-  // Numbers servers that no list has named yet.
+  // Assigns numbers to servers that no list has contained yet.
   void Learn(std::vector<std::string> ids) { numbers_.Learn(std::move(ids)); }
 
  private:
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 //
-// The proxy: turns what happens on sockets into events for its Balancer, and carries out the actions. Every
-// decision is the Balancer's. This wires the parts together; each has one concern.
+// Proxy connects its components: they turn network events into events for the Balancer, which makes all
+// decisions, and carry out its actions.
 #ifndef LOAD_BALANCER_PROXY_PROXY_H_
 #define LOAD_BALANCER_PROXY_PROXY_H_
 
@@ -36,25 +36,24 @@
 
 class Proxy : private RequestHandler {
  public:
-  // Watches discovery from here on, and listens: at once, or beside another process of this proxy once the
-  // list is fresh.
+  // Starts to watch discovery and to listen. During a hot restart it listens once discovery has answered.
   Proxy(boost::asio::io_context& io, Config config);
   ~Proxy() override;
 
   const Config& config() const { return *config_; }
-  // From now on; requests that are open keep what was in force when they came.
+  // Replaces the configuration. A request whose head is complete keeps the rules of the previous one.
   void Reconfigure(Config config);
 
-  // Serves what comes for a while yet; `done` is called when nothing is held any more.
+  // Stops after a grace period for new connections. Calls `done` when no request is pending.
   void Stop(std::function<void()> done);
 
   boost::asio::ip::tcp::endpoint address() const { return clients_.address(); }
-  // Where operators call; of a configuration that names it.
+  // The address for operators. The configuration must name one.
   boost::asio::ip::tcp::endpoint operators_address() const { return operators_->address(); }
   std::size_t backend_connections() const { return backends_.connections(); }
   std::size_t client_connections() const { return clients_.connections(); }
   std::size_t held() const { return pending_.size(); }
-  std::size_t buffered() const { return buffers_.reserved(); }  // bytes of messages held whole
+  std::size_t buffered() const { return buffers_.reserved(); }  // bytes of buffered bodies
 
  private:
   RequestId OnRequest(ClientRequest request, std::shared_ptr<Responder> responder) override;
@@ -67,11 +66,11 @@
 
   void OnLook();
 
-  // The parts know each other by reference. Clients end first, which may end attempts, and then backends: all
-  // that an event may reach is above them.
+  // The components refer to each other. They are destroyed in reverse order: first clients, which may end
+  // attempts, then backends, and last the components that the events of both may reach.
   std::shared_ptr<const Config> config_;  // in force
   HotRestart hot_restart_;
-  int processes_ = 1;  // that the module was told of
+  int processes_ = 1;  // the number that the module has
   Buffers buffers_;
   PendingRequests pending_;
   Actions actions_;
@@ -90,7 +89,7 @@
   Door door_;
   Recovery recovery_;
   AdminHandler admin_handler_;
-  std::unique_ptr<Operators> operators_;  // where the configuration names their address
+  std::unique_ptr<Operators> operators_;  // null if the configuration has no address for them
 };
 
 }  // namespace load_balancer::proxy
