--- a/src/policy/admission.h
+++ b/src/policy/admission.h
@@ -42,7 +42,7 @@
   /// Estimates how much of a request's latency objective had passed before the request arrived here. The
   /// requests of a class usually arrive with the same remaining time. A shorter remaining time indicates a
   /// client's last retry, whose time-out is cut off by the client's deadline.
-  Duration ElapsedBeforeArrival(const RequestReceived& received, const Request& request) const;
+  [[nodiscard]] Duration ElapsedBeforeArrival(const RequestReceived& received, const Request& request) const;
 
   /// Adds the tokens of `elapsed` ms to the tenants' quotas.
   void RefillQuotas(double elapsed);
