--- a/tests/state/recovery_test.cpp
+++ b/tests/state/recovery_test.cpp
@@ -245,13 +245,15 @@
   Cluster cluster(3, {{"probe_interval_ms", 100}, {"sync_interval_ms", 300}}, config);
   ASSERT_TRUE(cluster.WaitUntilAllAlive());
   ASSERT_TRUE(EjectAndWaitForSnapshot(cluster[0]));
+  // A process that still runs would write another snapshot.
+  cluster.process(2).Kill();
   for (const auto& entry : std::filesystem::directory_iterator(cluster[2].folder->path))
     if (entry.path().extension() != ".json") std::filesystem::remove(entry.path());
   cluster.Restart(2);
   const auto accepted = cluster.process(2).WaitFor("verdict server=s-1 from=n1");
   ASSERT_TRUE(accepted);
   const auto recovered = cluster.process(2).WaitFor("recovered from a peer");
-  ASSERT_TRUE(recovered);
+  ASSERT_TRUE(recovered) << ::testing::PrintToString(cluster.process(2).Lines());
   EXPECT_LT(accepted->first, recovered->first) << "recovery ended before the peer's state was received";
 }
 
