Count a request's time from its client's last byte, not from when the proxy reads it

Cause: the deadline of a body that is passed on was set when its last piece was read. The rest of the body waits in the client's socket while the server does not read, and until then only each piece had a limit, 10 s. A pipelined request, and one whose connection came up late, got their whole time anew in the same way.

Change: the client has certainly not sent the last byte while a read of the body waits for bytes.

--- a/src/proxy/backend/connection.cpp
+++ b/src/proxy/backend/connection.cpp
@@ -164,6 +164,12 @@
   Finish(IsWritten() ? outcome : Outcome::kConnectFailed);
 }
 
+// Returns when a piece of the request's body, or an early response to it, is overdue. The client may have
+// sent the rest of the body, so the deadline of the request applies as well.
+Steady::time_point Backends::Connection::PieceDeadline() const {
+  return std::min(deadline_, Steady::now() + kPieceTimeout);
+}
+
 // ---- writing ------------------------------------------------------------------------------------------
 auto Backends::Connection::OnWritten(bool last) {
   return [self = shared_from_this(), use = use_number_, last](const Error& failed) {
@@ -182,7 +188,7 @@
 void Backends::Connection::OnWriteFailed() {
   if (!awaiting_head_) return FinishWithoutResponse(Outcome::kReset);
   phase_ = Phase::kReading;
-  SetTimer(Steady::now() + kPieceTimeout);
+  SetTimer(PieceDeadline());
 }
 
 void Backends::Connection::Write() {
@@ -224,8 +230,9 @@
 void Backends::Connection::WritePiece(Piece piece) {
   if (piece.failed)
     return FinishSoon(Outcome::kCancelled);  // may run within Send, which must not call `done`
-  SetTimer(Steady::now() + kPieceTimeout);
-  if (piece.last) deadline_ = piece.due;
+  deadline_ = piece.due;
+  if (Steady::now() >= deadline_) return FinishSoon(Outcome::kNotSent);
+  SetTimer(PieceDeadline());
   writer_.WritePiece(socket_, std::move(piece.bytes), piece.last, OnWritten(piece.last));
 }
 
@@ -244,7 +251,7 @@
   if (reader_.IsInterim()) return Read();
   awaiting_head_ = false;
   if (std::exchange(phase_, Phase::kReading) == Phase::kSending)
-    SetTimer(IsWritten() ? deadline_ : Steady::now() + kPieceTimeout);
+    SetTimer(IsWritten() ? deadline_ : PieceDeadline());
   const Limits& limits = owner_->limits_;
   outcome_ = OutcomeOf(reader_.head(), limits.servers_are_proxies);
   if (limits.on_head) limits.on_head(reader_.head());
--- a/src/proxy/backend/connection.h
+++ b/src/proxy/backend/connection.h
@@ -70,6 +70,7 @@
   void ClearTimer();
   void SetTimer(Steady::time_point at);
   void FinishWithoutResponse(Outcome outcome);
+  Steady::time_point PieceDeadline() const;
 
   void Write();
   void WatchForEarlyAnswer();
--- a/src/proxy/backends.h
+++ b/src/proxy/backends.h
@@ -97,7 +97,8 @@
   void Shrink(std::size_t connections);
 
   // Starts an attempt. `done` is called exactly once, never within this call and never after the destructor.
-  // The timeout starts with this call; for a streamed body, the last piece sets a new deadline. The header
+  // The timeout starts with this call; for a streamed body, each piece sets a new deadline, after which
+  // neither it nor a later one is written. The header
   // Req-Deadline-Ms contains the time that is left when the request is written, rounded down to ms. If no
   // time is left, nothing is written.
   AttemptId Send(ServerId server, OutgoingRequest request, Duration timeout, AttemptEvents events);
--- a/src/proxy/body.h
+++ b/src/proxy/body.h
@@ -22,7 +22,7 @@
   std::string bytes;
   bool last = false;         // the body ends with this piece
   bool failed = false;       // the body cannot be completed; no more pieces follow
-  Steady::time_point due{};  // in the last piece of a request: when the response is due
+  Steady::time_point due{};  // in a request: when the response is due if the client has sent the whole body
 
   // Returns a piece with `failed` set.
   static Piece Broken() {
--- a/src/proxy/client/session.cpp
+++ b/src/proxy/client/session.cpp
@@ -113,9 +113,14 @@
   ReadInto(buffer);
 }
 
+void Clients::Session::BeginRead() {
+  read_in_progress_ = true;
+  read_has_waited_ = !HasUnreadBytes();
+}
+
 // Reads into `buffer` within the time limit of the stream.
 void Clients::Session::ReadInto(const boost::asio::mutable_buffer& buffer) {
-  read_in_progress_ = true;
+  BeginRead();
   stream_.async_read_some(
       buffer, [self = shared_from_this()](const Error& failed, std::size_t n) { self->OnRead(failed, n); });
 }
@@ -128,7 +133,7 @@
   const auto buffer =
       reader_.PrepareRead(body_is_streaming_ ? owner_->buffers_.piece_bytes() : kFirstReadBytes);
   if (buffer.size() == 0) return ScheduleCloseCheck();
-  read_in_progress_ = true;
+  BeginRead();
   stream_.socket().async_read_some(
       buffer, [self = shared_from_this()](const Error& failed, std::size_t n) { self->OnRead(failed, n); });
 }
@@ -147,7 +152,7 @@
   if (state_ == State::kEnding) return failed && !cancelled ? Close() : DiscardInput();
   if (failed && !cancelled) return OnClientClosed();
   if (n > 0) {
-    reader_.Received(n);
+    reader_.Received(n, read_has_waited_);
     owner_->MarkActive(this);
   }
   if (std::exchange(end_requested_, false) && n == 0 && !HasUnreadBytes()) return ShutSending();
@@ -270,10 +275,11 @@
   if (IsPending() && !on_piece_) ReadAhead();
 }
 
-// Returns when the response is due. During a stop, it is due at the latest kResponseReserve before the
-// deadline of the stop.
+// Returns when the response is due if the client has sent the whole request. The time of the client counts
+// from its last byte, which may have been in the socket for long when it is read. During a stop, the response
+// is due at the latest kResponseReserve before the deadline of the stop.
 Steady::time_point Clients::Session::ResponseDeadline() const {
-  const auto due = Steady::now() + std::chrono::duration_cast<Steady::duration>(client_timeout_);
+  const auto due = reader_.earliest_end() + std::chrono::duration_cast<Steady::duration>(client_timeout_);
   return owner_->stopping_ ? std::min(due, owner_->stop_deadline_ - kResponseReserve) : due;
 }
 
@@ -296,10 +302,10 @@
   if (piece.bytes.empty() && !piece.last) return ReadMoreOfBody();
   reader_.PauseBodyTimer();
   const auto on_piece = std::exchange(on_piece_, nullptr);
+  piece.due = ResponseDeadline();
   if (piece.last) {
     body_is_streaming_ = false;
     stream_.expires_never();
-    piece.due = ResponseDeadline();
     owner_->handler_.OnUploaded(request_id_, piece.due);
   }
   if (on_piece) on_piece(std::move(piece));
--- a/src/proxy/client/session.h
+++ b/src/proxy/client/session.h
@@ -81,6 +81,7 @@
   void ReadMoreOfHead();
   void ReadSome();
   void ReadInto(const boost::asio::mutable_buffer& buffer);
+  void BeginRead();
   void ReadAhead();
   void OnRead(const Error& failed, std::size_t n);
   void CancelRead();
@@ -124,6 +125,7 @@
   RequestId request_id_ = 0;
   OnPiece on_piece_;
   bool read_in_progress_ = false;   // OnRead will be called
+  bool read_has_waited_ = false;    // nothing had arrived when the last read began
   bool client_closed_ = false;      // the client has closed its sending side or reset the connection
   bool reading_head_ = false;       // the next bytes belong to the head of a request
   bool body_is_streaming_ = false;  // the body is streamed and has not been received completely
