Write a keyed repeat within the window of its key, or not at all

Callers saw: a keyed request ran twice.

Cause: the window was checked when the repeat was decided on and relied on after the wait for a connection, and after that for a server that reads slowly.

Change: the module's Dispatch says how long the write may take. A connection that is not up by then is given up, and so is a request that is not written whole. While attempts are left a repeat gets half of the time that remains, and of servers tried those that could not be reached come last, so that the repeat can reach another server within the window.

--- a/include/load_balancer/balancer.h
+++ b/include/load_balancer/balancer.h
@@ -290,6 +290,9 @@
   RequestId request = 0;
   ServerId server = 0;
   Duration timeout{0};  ///< the attempt's time-out; 0 if only the client's deadline limits it
+  /// Time within which the request must be written whole, or else be given up before its last byte, so that
+  /// it does not run. 0 if there is no such limit. In ms, from the dispatch.
+  Duration write_timeout{0};
 };
 
 /// Reject ends a request and tells the client that it did not run, so that the client may retry it.
--- a/src/policy/request.h
+++ b/src/policy/request.h
@@ -49,6 +49,7 @@
   TimePoint overdue_at{};  ///< time after which no response is expected
   bool is_outstanding = true;
   bool may_have_run = true;
+  bool is_unreached = false;  ///< the attempt has ended without reaching the server
 };
 
 /// Request holds the state of a request from its arrival until it has its final response and no attempt is
--- a/src/policy/request_lifecycle.cpp
+++ b/src/policy/request_lifecycle.cpp
@@ -146,7 +146,7 @@
   Server* server = may_send ? picker_.Pick(request, permission.first_run_server) : nullptr;
   if (server) {
     queue_.Remove(request);
-    Send(request, *server);
+    Send(request, *server, permission);
   } else if (!permission.may_dispatch || context_.now() >= request.reject_at) {
     FinishWithRetryAfter(request);
   } else if (!request.is_queued) {
@@ -168,7 +168,7 @@
   }
 }
 
-void RequestLifecycle::Send(Request& request, Server& server) {
+void RequestLifecycle::Send(Request& request, Server& server, const Permission& permission) {
   const TimePoint now = context_.now();
   if (request.attempts.empty()) {
     retry_budget_.RecordFirstAttempt();
@@ -176,6 +176,7 @@
     retry_budget_.RecordRetry();
   }
   const Duration timeout = AttemptTimeout(request, server, retry_budget_.HasToken(), now);
+  const Duration write_timeout = WriteTimeout(request, permission, now);
   const ServerIndex index = servers_.IndexOf(server);
   server.load.Add(request.work, now);
   if (request.is_overflow) in_flight_.AddOverflow();
@@ -183,7 +184,7 @@
   if (context_.settings().session_affinity && request.key != 0) affinity_.Record(request.key, index, now);
   request.attempts.push_back({.server = index, .sent_at = now});
   if (!request.is_body_pending) StartAwaitingResponse(request);
-  context_.Emit(Dispatch{request.id, server.entry.server, timeout});
+  context_.Emit(Dispatch{request.id, server.entry.server, timeout, write_timeout});
 }
 
 // Adds the last attempt to the attempts in flight, once the server has received the whole request.
@@ -213,8 +214,8 @@
   if (!attempt || !attempt->is_outstanding) return;
   const bool is_overloaded = ended.outcome == Outcome::kOverloaded;
   attempt->is_outstanding = false;
-  attempt->may_have_run =
-      !is_overloaded && ended.outcome != Outcome::kConnectFailed && ended.outcome != Outcome::kNotSent;
+  attempt->is_unreached = ended.outcome == Outcome::kConnectFailed || ended.outcome == Outcome::kNotSent;
+  attempt->may_have_run = !is_overloaded && !attempt->is_unreached;
   in_flight_.Remove(*request, ended.attempt);
   RecordOutcome(*request, ended, servers_.at(attempt->server));
   NotifyCapacityChange();
--- a/src/policy/request_lifecycle.h
+++ b/src/policy/request_lifecycle.h
@@ -64,7 +64,7 @@
   Server& LastServer(const Request& request);
   bool HasCapacity(const Request& request) const;
   bool TryDispatch(Request& request);
-  void Send(Request& request, Server& server);
+  void Send(Request& request, Server& server, const Permission& permission);
   void StartAwaitingResponse(Request& request);
   void Retry(Request& request, bool adds_load);
   void RecordOutcome(const Request& request, const AttemptEnded& ended, Server& server);
--- a/src/policy/retry_policy.cpp
+++ b/src/policy/retry_policy.cpp
@@ -8,11 +8,8 @@
 
 // A retry is sent only within this share of the idempotency window. The rest is left for delays.
 constexpr double kWindowMargin = 0.9;
-
-bool MayDispatchAgain(const Request& request, const Attempt& first_run, TimePoint now) {
-  return request.rules.idempotency == Idempotency::kIdempotencyKey &&
-         now - first_run.sent_at <= request.rules.idempotency_window * kWindowMargin;
-}
+// Share of the remaining time in which an attempt is to be written if another attempt may follow.
+constexpr double kWriteShare = 0.5;
 
 }  // namespace
 
@@ -29,9 +26,18 @@
   if (first_run == request.attempts.end() || idempotency == Idempotency::kIdempotent) return permission;
   permission.may_reject = idempotency == Idempotency::kIdempotencyKey &&
                           request.rules.idempotency_scope == IdempotencyScope::kAll;
-  permission.may_dispatch = permission.may_dispatch && MayDispatchAgain(request, *first_run, now);
+  if (idempotency == Idempotency::kIdempotencyKey)
+    permission.write_before = first_run->sent_at + request.rules.idempotency_window * kWindowMargin;
+  const bool may_run_again = idempotency == Idempotency::kIdempotencyKey && now < permission.write_before;
+  permission.may_dispatch = permission.may_dispatch && may_run_again;
   permission.first_run_server = &servers.at(first_run->server);
   return permission;
 }
 
+Duration WriteTimeout(const Request& request, const Permission& permission, TimePoint now) {
+  if (permission.write_before == kNever) return Duration(0);
+  const bool is_last_attempt = static_cast<int>(request.attempts.size()) + 1 >= request.max_attempts;
+  return (permission.write_before - now) * (is_last_attempt ? 1 : kWriteShare);
+}
+
 }  // namespace load_balancer
--- a/src/policy/server_picker.cpp
+++ b/src/policy/server_picker.cpp
@@ -12,8 +12,10 @@
 constexpr double kZoneGain = 0.1;
 // Work saved by session affinity, as a multiple of the request's work.
 constexpr double kAffinityGain = 2;
-constexpr int kTriedRank = 1;
-constexpr int kEjectedRank = 2;
+// Ranks of candidates; a lower rank is better.
+constexpr int kTriedRank = 1;      // an attempt of the request has reached the server
+constexpr int kUnreachedRank = 2;  // an attempt of the request has not reached the server
+constexpr int kEjectedRank = 3;
 
 bool IsInScope(IdempotencyScope scope, const ServerEntry& first_run_server, const ServerEntry& entry) {
   if (scope == IdempotencyScope::kAll) return true;
@@ -21,6 +23,14 @@
   return scope == IdempotencyScope::kZone || entry.cell == first_run_server.cell;
 }
 
+int RankByAttempts(const Request& request, ServerIndex server) {
+  int rank = 0;
+  for (const Attempt& attempt : request.attempts) {
+    if (attempt.server == server) rank = std::max(rank, attempt.is_unreached ? kUnreachedRank : kTriedRank);
+  }
+  return rank;
+}
+
 }  // namespace
 
 Server* ServerPicker::Pick(const Request& request, const Server* first_run_server) {
@@ -79,13 +89,11 @@
 ServerPicker::Candidate ServerPicker::Evaluate(Server& server, const Request& request,
                                                double crossing_cost) const {
   const ServerIndex index = servers_.IndexOf(server);
-  const bool is_tried = std::any_of(request.attempts.begin(), request.attempts.end(),
-                                    [index](const Attempt& attempt) { return attempt.server == index; });
   const bool is_warm = request.key != 0 && affinity_.IsWarm(request.key, index, context_.now());
   const bool is_crossing = server.entry.zone != context_.settings().zone;
   Candidate candidate;
   candidate.server = &server;
-  candidate.rank = (server.health.is_ejected ? kEjectedRank : 0) + (is_tried ? kTriedRank : 0);
+  candidate.rank = (server.health.is_ejected ? kEjectedRank : 0) + RankByAttempts(request, index);
   candidate.cost = server.load.work() + request.work * (server.slowness.At(context_.now()) - 1);
   candidate.cost -= is_warm ? kAffinityGain * request.work : 0;
   candidate.cost += is_crossing ? crossing_cost : 0;
--- a/src/proxy/backend/connection.cpp
+++ b/src/proxy/backend/connection.cpp
@@ -43,7 +43,10 @@
   attempt_ = attempt;
   request_ = std::move(request);
   events_ = std::move(events);
-  deadline_ = Steady::now() + ToSteady(timeout);
+  const auto now = Steady::now();
+  deadline_ = write_deadline_ = now + ToSteady(timeout);
+  if (request_.write_timeout > Duration(0))
+    write_deadline_ = std::min(deadline_, now + ToSteady(request_.write_timeout));
   phase_ = Phase::kConnecting;
   awaiting_head_ = read_in_progress_ = streaming_ = response_complete_ = false;
 }
@@ -56,7 +59,7 @@
   if (!error) socket_.set_option(Tcp::no_delay(true), error);
   if (!error) socket_.non_blocking(true, error);
   if (error) return FinishSoon(Outcome::kNotSent);  // for example, no descriptor is left
-  SetTimer(std::min(deadline_, Steady::now() + ToSteady(connect_timeout)));
+  SetTimer(std::min(write_deadline_, Steady::now() + ToSteady(connect_timeout)));
   socket_.async_connect(address, [self = shared_from_this()](const Error& failed) {
     if (!self->HasAttempt()) return;
     if (failed) return self->Finish(Outcome::kConnectFailed);
@@ -146,12 +149,22 @@
   timer_.expires_at(at);
   timer_.async_wait([self = shared_from_this(), set = ++timer_number_](const Error& cancelled) {
     if (cancelled || self->closed_ || set != self->timer_number_) return;
-    if (!self->HasAttempt()) return self->Close();  // idle for too long
-    if (self->IsBuffering()) return self->StartStreaming();
-    self->FinishWithoutResponse(Outcome::kTimeout);
+    self->OnTimer();
   });
 }
 
+void Backends::Connection::OnTimer() {
+  if (!HasAttempt()) return Close();  // idle for too long
+  if (IsBuffering()) return StartStreaming();
+  const auto now = Steady::now();
+  const bool is_sending = phase_ == Phase::kSending;
+  // The last byte was written in time, but the handler of its write has not been called yet.
+  if (is_sending && IsWritten() && now < deadline_) return SetTimer(deadline_);
+  // The limit of the write says nothing about the server.
+  if (!IsWritten() && write_deadline_ < deadline_ && now >= write_deadline_) return Finish(Outcome::kNotSent);
+  FinishWithoutResponse(Outcome::kTimeout);
+}
+
 // Returns whether part of a response of unknown length is buffered.
 bool Backends::Connection::IsBuffering() const {
   return phase_ == Phase::kReading && !streaming_ && reader_.body_bytes() > 0 && outcome_ == Outcome::kOk &&
@@ -194,7 +207,7 @@
 void Backends::Connection::Write() {
   // Connecting may have taken some time, so the remaining time is computed when the request is written.
   const auto left = std::chrono::floor<std::chrono::milliseconds>(deadline_ - Steady::now());
-  if (left.count() <= 0) return FinishSoon(Outcome::kNotSent);
+  if (left.count() <= 0 || Steady::now() >= write_deadline_) return FinishSoon(Outcome::kNotSent);
   request_.head.set(kTimeLeftHeader, std::to_string(left.count()));
   phase_ = Phase::kSending;
   writer_.Begin(std::move(request_.head));
@@ -202,7 +215,7 @@
     WatchForEarlyAnswer();
     return WriteNext();
   }
-  SetTimer(deadline_);
+  SetTimer(write_deadline_);
   writer_.Write(socket_, *request_.complete_body, true, OnWritten(true));
 }
 
@@ -230,7 +243,7 @@
 void Backends::Connection::WritePiece(Piece piece) {
   if (piece.failed)
     return FinishSoon(Outcome::kCancelled);  // may run within Send, which must not call `done`
-  deadline_ = piece.due;
+  deadline_ = write_deadline_ = piece.due;
   if (Steady::now() >= deadline_) return FinishSoon(Outcome::kNotSent);
   SetTimer(PieceDeadline());
   writer_.WritePiece(socket_, std::move(piece.bytes), piece.last, OnWritten(piece.last));
--- a/src/proxy/backend/connection.h
+++ b/src/proxy/backend/connection.h
@@ -69,6 +69,7 @@
   bool IsBuffering() const;
   void ClearTimer();
   void SetTimer(Steady::time_point at);
+  void OnTimer();
   void FinishWithoutResponse(Outcome outcome);
   Steady::time_point PieceDeadline() const;
 
@@ -100,6 +101,7 @@
   OnPiece on_piece_;
   Outcome outcome_ = Outcome::kUnknown;
   Steady::time_point deadline_{}, idle_since_{};
+  Steady::time_point write_deadline_{};  // no later than deadline_; the last byte must be written before it
   std::uint64_t use_number_ = 0, timer_number_ = 0;
   Phase phase_ = Phase::kConnecting;
   bool awaiting_head_ = false, read_in_progress_ = false, streaming_ = false, response_complete_ = false,
--- a/src/proxy/backends.h
+++ b/src/proxy/backends.h
@@ -56,6 +56,7 @@
       head;  // includes Content-Length or Transfer-Encoding, but not Req-Deadline-Ms
   std::shared_ptr<const std::string> complete_body;  // a completely buffered body
   std::shared_ptr<BodySource> body;                  // a streamed body
+  Duration write_timeout{0};  // time from Send to the last byte, after which it is not written; 0: none
 };
 
 class Backends {
@@ -100,7 +101,8 @@
   // The timeout starts with this call; for a streamed body, each piece sets a new deadline, after which
   // neither it nor a later one is written. The header
   // Req-Deadline-Ms contains the time that is left when the request is written, rounded down to ms. If no
-  // time is left, nothing is written.
+  // time is left, nothing is written. An attempt that is not written within its `write_timeout` ends as
+  // kNotSent, and its last byte is never written.
   AttemptId Send(ServerId server, OutgoingRequest request, Duration timeout, AttemptEvents events);
   // Cancels an attempt whose request is no longer needed. If its last byte has not been written, it ends as
   // kNotSent and the server never starts it. Otherwise it continues. Has no effect on an attempt that has
--- a/tests/policy/retries_test.cpp
+++ b/tests/policy/retries_test.cpp
@@ -83,6 +83,50 @@
 }
 
 // There are no hedged requests, as they would cost others more capacity than they gain.
+// Guards against a retry that is permitted within the idempotency window but written after its end.
+TEST(Retries, WithAnIdempotencyKeyAreWrittenWithinTheWindow) {
+  Settings settings = DefaultSettings();
+  settings.max_attempts = 3;
+  Rig rig(settings);
+  rig.Servers(4);
+  const double window_ends_at = rig.now + settings.classes[1].idempotency_window.count();
+  const auto first = rig.Send(1, 1);
+  ASSERT_TRUE(first.has_value());
+  EXPECT_EQ(rig.sent.back().write_timeout, Duration(0)) << "the first attempt may run at any time";
+  rig.now += 300;
+  rig.EndAttempt(1, 0, *first, Outcome::kReset);
+  const Duration left(window_ends_at - rig.now);
+  const Dispatch second = rig.sent.back();
+  EXPECT_GT(second.write_timeout, Duration(0));
+  EXPECT_LT(second.write_timeout, left / 2) << "some time is left for another attempt";
+  rig.now += second.write_timeout.count();
+  rig.EndAttempt(1, 1, second.server, Outcome::kNotSent);
+  const Dispatch third = rig.sent.back();
+  EXPECT_LT(third.write_timeout, Duration(window_ends_at - rig.now));
+  EXPECT_GT(third.write_timeout, left / 4) << "the last attempt has all of the time";
+}
+
+TEST(Retries, OfAnIdempotentRequestMayBeWrittenAtAnyTime) {
+  Rig rig;
+  rig.Servers(3);
+  const auto first = rig.Send(1, 0);
+  rig.EndAttempt(1, 0, *first, Outcome::kReset);
+  ASSERT_TRUE(rig.SentTo(1).has_value());
+  EXPECT_EQ(rig.sent.back().write_timeout, Duration(0));
+}
+
+// Guards against retries that are all spent on a server whose connection comes up late.
+TEST(Retries, PreferAServerThatWasReachedToOneThatWasNot) {
+  for (int i = 0; i < 20; ++i) {  // ties are broken at random
+    Rig rig;
+    rig.Servers(2);
+    const auto first = rig.Send(1, 0);
+    rig.EndAttempt(1, 0, *first, Outcome::kReset);
+    rig.EndAttempt(1, 1, 3 - *first, Outcome::kNotSent);
+    EXPECT_EQ(rig.SentTo(1), first);
+  }
+}
+
 TEST(Retries, ARequestHasOneAttemptAtATime) {
   Rig rig;
   rig.Servers(3);
