Keep an acknowledged DETACH or ATTACH when another member takes over maintenance

Cause: each holder publishes the whole set under its token, and members take the set of the larger token in place of their own. The next holder had not heard of the change, and the one that had made it dropped it with its set.

Change: each change is published by itself, too, as a register for which the later write counts. Members merge into a holder's set the changes that it lacks, and the holder publishes its set anew. The member that made a change keeps it on disk until a later holder's set contains it, pushes it once more to a holder that lacks it, and publishes it again after a restart. The set's key, form and fence stay.

--- a/src/fleet/node/node.cpp
+++ b/src/fleet/node/node.cpp
@@ -114,6 +114,12 @@
   return {};
 }
 
+void Node::PublishUnfenced(FencedValue value) {
+  std::vector<FencedValue> values;
+  values.push_back(std::move(value));
+  state_.Announce(std::move(values));
+}
+
 void Node::ScheduleTick() {
   const Time next = std::min(membership_->Next(), leases_.Next());
   if (next == scheduled_tick_) return;
--- a/src/fleet/node/node_options.h
+++ b/src/fleet/node/node_options.h
@@ -16,6 +16,8 @@
 /// maintenance set.
 inline constexpr char kDiscoveryDuty[] = "discovery";
 inline constexpr char kMaintenanceDuty[] = "maintenance";
+/// Name under which members publish the single changes of the maintenance set. It is not the name of a lease.
+inline constexpr char kMaintenanceChanges[] = "maintenance-changes";
 
 /// Returns the leased roles of a site's fleet. Without a quorum of voters every member polls discovery, and
 /// no member changes the maintenance set.
--- a/src/fleet/state/entry.h
+++ b/src/fleet/state/entry.h
@@ -44,6 +44,10 @@
   std::string server;
 };
 
+/// Token of the values of a role that has no lease. Since the tokens are equal, the later version of a value
+/// wins, whichever member wrote it.
+inline constexpr std::uint64_t kUnfencedToken = 1;
+
 /// FencedValue is a value that the lease holder of a role publishes. Of two values with the same key, the one
 /// with the larger token wins; if the tokens are equal, the one with the later version wins. A value whose
 /// token is below the highest token seen for its role is rejected (Kleppmann: "How to do distributed
--- a/src/proxy/fleet_link/fleet_link.cpp
+++ b/src/proxy/fleet_link/fleet_link.cpp
@@ -29,6 +29,7 @@
   if (!config.fleet.on) return;
   const std::uint64_t seed = config.seed ^ StableHash(config.name);
   discovery_.Know(config.known.members);
+  maintenance_.Begin();
   fleet::NodeOptions options;
   options.duties = LeasedRolesOf(config);
   options.votes = votes;
@@ -52,7 +53,10 @@
 
 void FleetLink::OnLimitShare(int max_in_flight) { module_.Feed(ServerConcurrencyLimit{max_in_flight}); }
 
-void FleetLink::OnJoined() { recovery_.OnJoined(); }
+void FleetLink::OnJoined() {
+  recovery_.OnJoined();
+  maintenance_.OnJoined();
+}
 
 // A new holder says everything anew, under its own token.
 void FleetLink::OnLeaseStatus(const std::string& duty, fleet::LeaseStatus status) {
@@ -65,7 +69,8 @@
 
 void FleetLink::OnFencedValue(const fleet::FencedValue& fenced) {
   if (fenced.role == fleet::kDiscoveryDuty) return discovery_.OnFact(fenced);
-  if (fenced.role == fleet::kMaintenanceDuty) maintenance_.OnFact(fenced);
+  if (fenced.role == fleet::kMaintenanceDuty) return maintenance_.OnFact(fenced);
+  if (fenced.role == fleet::kMaintenanceChanges) maintenance_.OnChange(fenced);
 }
 
 }  // namespace load_balancer::proxy
