Ignore kept maintenance changes whose time is over, and merge others if the disk fails

A process that came back after more than the 12 h for which a change lasts would have applied and published it again, though the other members had forgotten it and what followed it. And a change of another member was not merged where the process's own file could not be written.

Change: changes whose time is over are left out when the file is read. Only a change of the process's own is refused where it cannot be kept; all others hold in memory.

--- a/src/proxy/fleet_link/maintenance_changes.cpp
+++ b/src/proxy/fleet_link/maintenance_changes.cpp
@@ -34,7 +34,7 @@
 
 }  // namespace
 
-void MaintenanceChanges::Load() {
+void MaintenanceChanges::Load(fleet::UnixMs now) {
   if (path_.empty()) return;
   std::ifstream file(path_);
   for (std::string line; std::getline(file, line);) {
@@ -44,15 +44,19 @@
       log::Error("maintenance", Failure(kMaintenanceFile, path_, "not a change: " + line));
       continue;
     }
+    if (change.until <= now) continue;
     Entry& entry = entries_[id];
     if (entry.change.until < change.until) entry = {change, /*is_own=*/true, /*is_settled=*/false};
   }
 }
 
 bool MaintenanceChanges::RecordOwn(const std::string& id, const MaintenanceChange& change) {
+  Entries before = entries_;
   Entries entries = entries_;
   entries[id] = {change, /*is_own=*/true, /*is_settled=*/false};
-  return Replace(std::move(entries));
+  if (Replace(std::move(entries))) return true;
+  entries_ = std::move(before);
+  return false;
 }
 
 void MaintenanceChanges::Merge(const std::string& id, const MaintenanceChange& change) {
@@ -94,7 +98,7 @@
 
 bool MaintenanceChanges::Replace(Entries entries) {
   const auto before = UnsettledOwn();
-  std::swap(entries_, entries);
+  entries_ = std::move(entries);
   const auto after = UnsettledOwn();
   if (path_.empty() || after == before) return true;
   std::string lines;
@@ -104,7 +108,6 @@
                            std::span(reinterpret_cast<const std::uint8_t*>(lines.data()), lines.size()));
   } catch (const std::system_error& error) {
     log::Error("maintenance", Failure(kMaintenanceFile, path_, error.what()));
-    std::swap(entries_, entries);
     return false;
   }
   return true;
--- a/src/proxy/fleet_link/maintenance_changes.h
+++ b/src/proxy/fleet_link/maintenance_changes.h
@@ -33,9 +33,9 @@
   // `path` names the file; empty to keep nothing. The file is not read before Load.
   explicit MaintenanceChanges(std::string path) : path_(std::move(path)) {}
 
-  // Reads the changes that a former process of this proxy has kept, as changes of this process. Lines that
-  // are not in form are logged and left out.
-  void Load();
+  // Reads the changes that a former process of this proxy has kept, as changes of this process. Leaves out
+  // those whose time is over at `now`, and lines that are not in form, which are logged.
+  void Load(fleet::UnixMs now);
   // Adds a change of this process. Returns false, and changes nothing, if it cannot be kept.
   bool RecordOwn(const std::string& id, const MaintenanceChange& change);
   // Goes back to a former state, in the file too.
@@ -60,7 +60,8 @@
   };
   using Entries = std::map<std::string, Entry>;
 
-  // Replaces the entries and, if those of this process differ, the file. Returns false if that fails.
+  // Replaces the entries and, if those of this process differ, the file. Returns false if the file cannot be
+  // written; the entries are replaced nevertheless.
   bool Replace(Entries entries);
 
   std::string path_;
--- a/src/proxy/fleet_link/maintenance_duty.cpp
+++ b/src/proxy/fleet_link/maintenance_duty.cpp
@@ -47,6 +47,8 @@
 
 }  // namespace
 
+void MaintenanceDuty::Begin() { changes_.Load(UnixMilliseconds()); }
+
 void MaintenanceDuty::Change(const OperatorCall& call, OnReply reply) {
   const bool out = call.verb == OperatorCall::Verb::kDetach;
   if (!fleet_.node() || !fleet_.node()->has_leases())
@@ -81,7 +83,7 @@
 // A former process of this proxy may have acknowledged changes that no other member has heard of.
 void MaintenanceDuty::OnJoined() {
   if (!fleet_.node()->has_leases()) return;
-  changes_.Load();
+  changes_.Load(UnixMilliseconds());
   for (const auto& [id, change] : changes_.UnsettledOwn()) Announce(id, change);
   ApplyChanges();
 }
--- a/src/proxy/fleet_link/maintenance_duty.h
+++ b/src/proxy/fleet_link/maintenance_duty.h
@@ -28,7 +28,7 @@
       : fleet_(fleet), controller_(controller), changes_(std::move(path)) {}
 
   // Reads what a former process has kept. Called before the process joins the fleet.
-  void Begin() { changes_.Load(); }
+  void Begin();
 
   // DETACH or ATTACH: made under the lease, where duties have leases; the reply says if it is another's.
   void Change(const OperatorCall& call, OnReply reply);
--- a/tests/fleet/maintenance_changes_test.cpp
+++ b/tests/fleet/maintenance_changes_test.cpp
@@ -75,7 +75,7 @@
   // Returns the changes that the next process of the proxy begins with.
   MaintenanceChanges Next() const {
     MaintenanceChanges next(path_);
-    next.Load();
+    next.Load(kNow);
     return next;
   }
 
@@ -100,6 +100,13 @@
   EXPECT_TRUE(Next().UnsettledOwn().empty());
 }
 
+TEST_F(KeptMaintenanceChanges, AreLeftOutWhenTheirTimeIsOver) {
+  MaintenanceChanges changes(path_);
+  ASSERT_TRUE(changes.RecordOwn("a", Detach(kNow)));
+  ASSERT_TRUE(changes.RecordOwn("b", Detach(kNow + 1)));
+  EXPECT_EQ(Next().ApplyTo({}), Ids{"b"});
+}
+
 TEST_F(KeptMaintenanceChanges, LinesOutOfFormAreLeftOut) {
   std::ofstream(path_) << "out 7 2000\nmaybe 7 2000 a\nout 7 2000 b\n";
   EXPECT_EQ(Next().ApplyTo({}), Ids{"b"});
