Refuse a begun first request that gives way in a crowd, instead of ending it silently

Callers saw: a client whose first request was half sent beside a crowd that stops half way too had its connection ended with no response.

Cause: where nothing that is between two requests can give way, a connection that stands still within its first request does, and its end was a shutdown alone.

Change: such a connection gets a 503 first, as nothing of its request has run. It counts as ending from then on, so that the limit of connections beside the places holds as before.

The other tests of Eviction pass before and after.

--- a/src/proxy/client/session.cpp
+++ b/src/proxy/client/session.cpp
@@ -75,7 +75,16 @@
   if (!IsReading() || end_requested_) return;
   end_requested_ = true;
   ending_since_ = Steady::now();
-  read_in_progress_ ? CancelRead() : ShutSending();
+  read_in_progress_ ? CancelRead() : EndReading();
+}
+
+// Shuts down the sending side. A client that has begun a request gets a response before, as its request would
+// otherwise be lost once the client has sent the rest of it.
+void Clients::Session::EndReading() {
+  const bool has_begun = !reading_head_ || reader_.unparsed() > 0;
+  if (!has_begun || sending_continue_) return ShutSending();
+  is_refusing_ = close_after_response_ = true;
+  Write(RejectedReply(Duration(0)));
 }
 
 void Clients::Session::DetachFromOwner() {
@@ -155,7 +164,7 @@
     reader_.Received(n, read_has_waited_);
     owner_->MarkActive(this);
   }
-  if (std::exchange(end_requested_, false) && n == 0 && !HasUnreadBytes()) return ShutSending();
+  if (std::exchange(end_requested_, false) && n == 0 && !HasUnreadBytes()) return EndReading();
   if (IsReading()) return reading_head_ ? ContinueHead() : ReadBody();
   IsPending() && on_piece_ ? DeliverPiece() : ReadAhead();
 }
@@ -215,7 +224,9 @@
 
 void Clients::Session::SendContinue() {
   const auto go_on = std::make_shared<http::response<http::empty_body>>(http::status::continue_, 11);
+  sending_continue_ = true;
   http::async_write(stream_, *go_on, [self = shared_from_this(), go_on](const Error& failed, std::size_t) {
+    self->sending_continue_ = false;
     if (!self->IsReading()) return;
     if (failed) return self->Close();
     self->ReadMoreOfBody();
--- a/src/proxy/client/session.h
+++ b/src/proxy/client/session.h
@@ -28,12 +28,12 @@
   void Start();
   // Closes the connection at once, even during a request or response. The client may see a reset.
   void Close();
-  // Ends an idle connection: shuts down the sending side, so that the client sees a clean end of the stream,
-  // and waits some time for the client to close its side. A request that arrives before the shutdown is
-  // served first.
+  // Ends a connection that waits for bytes of its client: shuts down the sending side, so that the client
+  // sees a clean end of the stream, and waits some time for the client to close its side. A request that
+  // arrives before the shutdown is served first. A request that has begun is refused with a 503.
   void End();
   // Returns whether the connection is ending, either because of End or after its last response.
-  bool IsEnding() const { return end_requested_ || state_ == State::kEnding; }
+  bool IsEnding() const { return end_requested_ || is_refusing_ || state_ == State::kEnding; }
   Steady::time_point ending_since() const { return ending_since_; }
   // Returns whether the sending side is shut down, which the client can see.
   bool IsSendingShut() const { return state_ == State::kEnding; }
@@ -83,6 +83,7 @@
   void ReadSome();
   void ReadInto(const boost::asio::mutable_buffer& buffer);
   void BeginRead();
+  void EndReading();
   void ReadAhead();
   void OnRead(const Error& failed, std::size_t n);
   void CancelRead();
@@ -128,6 +129,7 @@
   bool read_in_progress_ = false;   // OnRead will be called
   bool read_has_waited_ = false;    // nothing had arrived when the last read began
   bool client_closed_ = false;      // the client has closed its sending side or reset the connection
+  bool sending_continue_ = false;   // an interim response is being written
   bool reading_head_ = false;       // the next bytes belong to the head of a request
   bool body_is_streaming_ = false;  // the body is streamed and has not been received completely
   bool has_started_ = false;        // a piece of the body has been requested
@@ -140,6 +142,7 @@
   bool ends_with_connection_ = false;            // only the close marks the end of the response body
   bool close_after_response_ = false;            // the connection closes after this response
   bool end_requested_ = false;                   // End was called, and no request has arrived since
+  bool is_refusing_ = false;                     // the last response refuses a request that End has cut short
   Steady::time_point ending_since_{};
   bool has_answered_ = false;  // a response has been written on this connection
 };
--- a/tests/client/eviction_test.cpp
+++ b/tests/client/eviction_test.cpp
@@ -82,6 +82,25 @@
   EXPECT_EQ(slow.Ask(kSecondHalf).result_int(), 200u);
 }
 
+// Guards against the loss of a first request that gives way to newcomers that stop within theirs: it is
+// refused, so that its client knows that it did not run.
+TEST_F(Eviction, AFirstRequestThatGivesWayToStalledNewcomersIsRefused) {
+  const auto slow = ConnectAndBegin();
+  std::this_thread::sleep_for(kStandstill);
+  ConnectCrowd(kFirstHalf);
+  EXPECT_EQ(slow->Ask(kSecondHalf).result_int(), 503u);
+}
+
+// Guards against the same for a body.
+TEST_F(Eviction, ABodyThatGivesWayToStalledNewcomersIsRefused) {
+  Client slow(proxy.address);
+  const std::string request = Book();
+  slow.Send(request.substr(0, request.size() - 1));
+  std::this_thread::sleep_for(kStandstill);
+  ConnectCrowd(kFirstHalf);
+  EXPECT_EQ(slow.Ask(request.substr(request.size() - 1)).result_int(), 503u);
+}
+
 // Guards against the loss of a body that is sent slowly on a kept connection.
 TEST_F(Eviction, IdleNewcomersDoNotEndABodyOnAKeptConnection) {
   Client slow(proxy.address);
