Give up an attempt that still connects when its server drains, leaves the list or moves

Cause: the list closed idle connections of a server that drains, but let attempts go on that were still connecting; operators' DETACH ended them.

Change: once the module knows of a list, attempts that connect to what is no longer a server's address or life end as kNotSent, and the module chooses anew. DETACH uses the same function.

The operators' tests of DETACH pass. A list that changes nothing of a server ends nothing.

--- a/src/proxy/backends.cpp
+++ b/src/proxy/backends.cpp
@@ -66,13 +66,18 @@
   Backend& backend = backends_[server];
   backend.detached = true;
   CloseIdleAndRetireOpen(backend);
-  std::vector<std::shared_ptr<Connection>> connecting;
+  CancelOutdated();
+}
+
+void Backends::CancelOutdated() {
+  std::vector<std::shared_ptr<Connection>> outdated;
   for (const auto& [key, weak] : live_) {
     const auto connection = weak.lock();
-    if (connection && connection->server() == server && connection->IsConnecting())
-      connecting.push_back(connection);
+    if (!connection || !connection->IsConnecting()) continue;
+    if (connection->generation() != backends_[connection->server()].generation)
+      outdated.push_back(connection);
   }
-  for (const auto& connection : connecting) connection->Finish(Outcome::kNotSent);
+  for (const auto& connection : outdated) connection->Finish(Outcome::kNotSent);
 }
 
 void Backends::Attach(ServerId server) {
--- a/src/proxy/backends.h
+++ b/src/proxy/backends.h
@@ -84,10 +84,13 @@
   // connections to the server are closed.
   void Set(ServerId server, const boost::asio::ip::tcp::endpoint& address, double up_since);
   // Removes a server that gets no more requests. Its idle connections are closed at once. Its other
-  // connections are closed when their responses are complete.
+  // connections are closed when their responses are complete, or by CancelOutdated.
   void Retire(ServerId server);
   // Retires all servers that are not in `named`, the ids of a complete list.
   void RetireOthers(const std::unordered_set<ServerId>& named);
+  // Ends attempts that are still connecting to a server that has been retired, moved or restarted since, as
+  // kNotSent. To be called once the owner knows of the change: `done` is called within this call.
+  void CancelOutdated();
   void CloseIdle(ServerId server);
   // Takes a server out of service for maintenance. Closes its idle connections and ends attempts that have
   // not written a byte.
--- a/src/proxy/core/server_directory.cpp
+++ b/src/proxy/core/server_directory.cpp
@@ -42,6 +42,7 @@
   }
   listed_ |= !list.members.empty();
   module_.Feed(std::move(update));
+  backends_.CancelOutdated();
   verdicts_.Restore(*this);
 }
 
