Leave 150 ms of a key's window for a process that is held up before it writes

Cause: a tenth of the window was left for delays, which is less than 0.15 s where the window is under 1.5 s.

Change: a tenth of the window, but at least 150 ms, are left. Windows of 1.5 s and more are as before.

--- a/src/policy/retry_policy.cpp
+++ b/src/policy/retry_policy.cpp
@@ -6,11 +6,19 @@
 namespace load_balancer {
 namespace {
 
-// A retry is sent only within this share of the idempotency window. The rest is left for delays.
+// A retry is written only within this share of the idempotency window. The rest is left for delays.
 constexpr double kWindowMargin = 0.9;
+// Time by which a write may follow the reading of the clock, in ms.
+constexpr Duration kMaxWriteDelay{150};
 // Share of the remaining time in which an attempt is to be written if another attempt may follow.
 constexpr double kWriteShare = 0.5;
 
+// Returns the time from the first attempt within which a retry must be written.
+Duration RetryWindow(const ClassSettings& rules) {
+  const Duration window = rules.idempotency_window;
+  return std::min(window * kWindowMargin, window - kMaxWriteDelay);
+}
+
 }  // namespace
 
 Permission PermissionFor(const Request& request, TimePoint now, const ServerList& servers) {
@@ -27,7 +35,7 @@
   permission.may_reject = idempotency == Idempotency::kIdempotencyKey &&
                           request.rules.idempotency_scope == IdempotencyScope::kAll;
   if (idempotency == Idempotency::kIdempotencyKey)
-    permission.write_before = first_run->sent_at + request.rules.idempotency_window * kWindowMargin;
+    permission.write_before = first_run->sent_at + RetryWindow(request.rules);
   const bool may_run_again = idempotency == Idempotency::kIdempotencyKey && now < permission.write_before;
   permission.may_dispatch = permission.may_dispatch && may_run_again;
   permission.first_run_server = &servers.at(first_run->server);
