Order a member's own maintenance command after all that it knows of the backend

Cause: members order the changes of a backend by wall clocks, also where the later command was made knowing the earlier one.

Change: a member moves the time of its own command behind that of the change that it knows.

Evidence: MaintenanceChanges.AnOwnChangeIsLaterThanTheOneItFollowsWhateverTheClock fails without that line (one member has the backend out, the other in) and passes with it; the other tests of changes pass before and after.

--- a/src/proxy/fleet_link/maintenance_changes.cpp
+++ b/src/proxy/fleet_link/maintenance_changes.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "fleet_link/maintenance_changes.h"
 
+#include <algorithm>
 #include <fstream>
 #include <sstream>
 #include <system_error>
@@ -50,13 +51,16 @@
   }
 }
 
-bool MaintenanceChanges::RecordOwn(const std::string& id, const MaintenanceChange& change) {
+std::optional<MaintenanceChange> MaintenanceChanges::RecordOwn(const std::string& id,
+                                                               MaintenanceChange change) {
   Entries before = entries_;
   Entries entries = entries_;
-  entries[id] = {change, /*is_own=*/true, /*is_settled=*/false};
-  if (Replace(std::move(entries))) return true;
+  Entry& entry = entries[id];
+  change.until = std::max(change.until, entry.change.until + 1);
+  entry = {change, /*is_own=*/true, /*is_settled=*/false};
+  if (Replace(std::move(entries))) return change;
   entries_ = std::move(before);
-  return false;
+  return std::nullopt;
 }
 
 void MaintenanceChanges::Merge(const std::string& id, const MaintenanceChange& change) {
--- a/src/proxy/fleet_link/maintenance_changes.h
+++ b/src/proxy/fleet_link/maintenance_changes.h
@@ -7,6 +7,7 @@
 #define LOAD_BALANCER_PROXY_FLEET_LINK_MAINTENANCE_CHANGES_H_
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -36,8 +37,10 @@
   // Reads the changes that a former process of this proxy has kept, as changes of this process. Leaves out
   // those whose time is over at `now`, and lines that are not in form, which are logged.
   void Load(fleet::UnixMs now);
-  // Adds a change of this process. Returns false, and changes nothing, if it cannot be kept.
-  bool RecordOwn(const std::string& id, const MaintenanceChange& change);
+  // Adds a change of this process. It is later than all known changes of the backend: if its time is not,
+  // because another member's clock is ahead, it is moved behind theirs. Returns the change as it was added,
+  // or nothing, with nothing changed, if it cannot be kept.
+  std::optional<MaintenanceChange> RecordOwn(const std::string& id, MaintenanceChange change);
   // Goes back to a former state, in the file too.
   void Restore(MaintenanceChanges before) { Replace(std::move(before.entries_)); }
   // Adds a change of another member, unless a later change of the backend is known.
--- a/src/proxy/fleet_link/maintenance_duty.cpp
+++ b/src/proxy/fleet_link/maintenance_duty.cpp
@@ -61,14 +61,14 @@
 }
 
 Result<void> MaintenanceDuty::PublishChange(const fleet::LeaseProof& proof, const std::string& id, bool out) {
-  const MaintenanceChange change{out, proof.token(), EndOfLifeFromNow()};
   MaintenanceChanges before = changes_;
-  if (!changes_.RecordOwn(id, change)) return tl::unexpected(Failure(kNotKept, "cannot be kept"));
+  const auto change = changes_.RecordOwn(id, {out, proof.token(), EndOfLifeFromNow()});
+  if (!change) return tl::unexpected(Failure(kNotKept, "cannot be kept"));
   if (const auto published = Publish(proof); !published) {
     changes_.Restore(std::move(before));
     return published;
   }
-  Announce(id, change);
+  Announce(id, *change);
   return {};
 }
 
--- a/tests/fleet/maintenance_changes_test.cpp
+++ b/tests/fleet/maintenance_changes_test.cpp
@@ -44,6 +44,20 @@
   EXPECT_EQ(changes.ApplyTo({}), Ids{"a"});
 }
 
+// Guards against a command that its own member takes for older than the one it follows, as the clock of the
+// other command's member is ahead: the members would disagree.
+TEST(MaintenanceChanges, AnOwnChangeIsLaterThanTheOneItFollowsWhateverTheClock) {
+  MaintenanceChanges ahead(""), behind("");
+  const auto detached = ahead.RecordOwn("a", Detach(3000));
+  ASSERT_TRUE(detached);
+  behind.Merge("a", *detached);
+  const auto attached = behind.RecordOwn("a", Attach(2000));
+  ASSERT_TRUE(attached);
+  ahead.Merge("a", *attached);
+  EXPECT_EQ(behind.ApplyTo({"a"}), Ids{});
+  EXPECT_EQ(ahead.ApplyTo({"a"}), Ids{});
+}
+
 // A holder of a version that publishes no single changes can take back what its set has contained.
 TEST(MaintenanceChanges, OfAnEarlierLeaseAreSettledByASetThatContainsThem) {
   MaintenanceChanges changes("");
