Count a queued request's time from its arrival, also in the accept queue and past the buffer

Cause: outside bodies, the time counted from when bytes were read, whether they had just arrived or not.

Change: bytes arrived no earlier than the socket last had no unread bytes, and for a connection that has just been accepted no earlier than TCP_INFO says, where connections were queued at all. The time counts from there. Where the system does not tell, it counts from the accept, as before.

--- a/src/proxy/client/request_reader.cpp
+++ b/src/proxy/client/request_reader.cpp
@@ -33,7 +33,6 @@
   parser_->header_limit(kMaxHeaderBytes);
   parser_->body_limit(kMaxBodyBytes);
   body_bytes_ = 0;
-  earliest_end_ = last_read_at_;
   if (buffer_.size() > 0) {
     head_began_ = last_received_at_ = Steady::now();
   } else if (!std::exchange(is_first_request_, false)) {
@@ -46,10 +45,10 @@
   return free_bytes == 0 ? boost::asio::mutable_buffer() : buffer_.prepare(std::min(max_bytes, free_bytes));
 }
 
-void RequestReader::Received(std::size_t bytes, bool has_waited) {
+void RequestReader::Received(std::size_t bytes) {
   buffer_.commit(bytes);
-  last_received_at_ = last_read_at_ = Steady::now();
-  if (has_waited || !IsInBody()) earliest_end_ = last_read_at_;
+  last_received_at_ = Steady::now();
+  bytes_arrived_at_ = all_read_at_;
 }
 
 bool RequestReader::ParseHead(Error* error) {
--- a/src/proxy/client/request_reader.h
+++ b/src/proxy/client/request_reader.h
@@ -27,16 +27,21 @@
 
   RequestReader();
 
-  // Starts the deadline for the head of the first request. Called when the client has connected.
-  void OnConnected() { head_began_ = last_received_at_ = Steady::now(); }
+  // Starts the deadline for the head of the first request. Called when the connection has been accepted. What
+  // the client has sent before arrived no earlier than `arrived_at`.
+  void OnAccepted(Steady::time_point arrived_at) {
+    head_began_ = last_received_at_ = Steady::now();
+    all_read_at_ = bytes_arrived_at_ = arrived_at;
+  }
   // Prepares the parser for the next request. Some of its bytes may already be in the buffer.
   void BeginRequest();
 
   // Returns memory for at most `max_bytes` bytes to read into. The result is empty if the buffer is full.
   boost::asio::mutable_buffer PrepareRead(std::size_t max_bytes = kNoLimit);
-  // Adds `bytes` bytes that have been read into the memory of PrepareRead. `has_waited`: nothing had arrived
-  // when the read began.
-  void Received(std::size_t bytes, bool has_waited);
+  // Adds `bytes` bytes that have been read into the memory of PrepareRead.
+  void Received(std::size_t bytes);
+  // Notes that until now the socket has had no unread bytes.
+  void NoteAllRead() { all_read_at_ = Steady::now(); }
   // Frees the memory of parsed bytes. No read into the buffer of PrepareRead may be in progress.
   void FreeMemory() { buffer_.shrink_to_fit(); }
   // Returns the number of bytes that have been received but not parsed.
@@ -44,8 +49,8 @@
   // Returns when bytes of the current request were last received.
   Steady::time_point last_received_at() const { return last_received_at_; }
   // Returns the earliest time at which the client can have sent the last byte of the current request. While
-  // received bytes of the body are left in the socket, the rest of the body may have been sent as well.
-  Steady::time_point earliest_end() const { return earliest_end_; }
+  // the socket has unread bytes, the rest of the request may be among them.
+  Steady::time_point EarliestEnd() const { return IsDone() ? bytes_arrived_at_ : all_read_at_; }
 
   // Parses received bytes. Returns whether the head is complete.
   bool ParseHead(Error* error);
@@ -73,15 +78,13 @@
   boost::asio::mutable_buffer Discard();
 
  private:
-  bool IsInBody() const { return parser_->is_header_done() && !parser_->is_done(); }
-
   boost::beast::flat_buffer buffer_;
   std::optional<boost::beast::http::request_parser<boost::beast::http::buffer_body>> parser_;
   std::size_t body_bytes_ = 0;  // decoded bytes of the body
   Steady::time_point head_began_{}, body_began_{}, paused_since_{}, last_received_at_{};
-  Steady::time_point last_read_at_{};  // when a read last returned bytes, of this request or another
-  Steady::time_point earliest_end_{};
-  bool is_first_request_ = true;  // no request of this connection has been read
+  Steady::time_point all_read_at_{};       // when the socket last had no unread bytes
+  Steady::time_point bytes_arrived_at_{};  // the earliest time at which the last bytes read can have arrived
+  bool is_first_request_ = true;           // no request of this connection has been read
 };
 
 }  // namespace load_balancer::proxy
--- a/src/proxy/client/session.cpp
+++ b/src/proxy/client/session.cpp
@@ -8,7 +8,7 @@
 #include <boost/beast/http/write.hpp>
 #include <utility>
 
-#include "client/peer_end.h"
+#include "client/peer_state.h"
 #include "client/replies.h"
 #include "overflow/incoming.h"
 
@@ -41,10 +41,10 @@
 Clients::Session::Session(Clients& owner, Tcp::socket socket)
     : owner_(&owner), stream_(std::move(socket)), close_check_timer_(stream_.get_executor()) {}
 
-void Clients::Session::Start() {
+void Clients::Session::Start(Steady::time_point arrived_at) {
   Error ignored;
   stream_.socket().set_option(Tcp::no_delay(true), ignored);
-  reader_.OnConnected();
+  reader_.OnAccepted(arrived_at);
   Read();
 }
 
@@ -156,12 +156,13 @@
 // Called at the end of each read. A cancelled read may still have received bytes.
 void Clients::Session::OnRead(const Error& failed, std::size_t n) {
   read_in_progress_ = false;
+  if (read_has_waited_) reader_.NoteAllRead();
   if (state_ == State::kClosed) return;
   const bool cancelled = failed == asio::error::operation_aborted;
   if (state_ == State::kEnding) return failed && !cancelled ? Close() : DiscardInput();
   if (failed && !cancelled) return OnClientClosed();
   if (n > 0) {
-    reader_.Received(n, read_has_waited_);
+    reader_.Received(n);
     owner_->MarkActive(this);
   }
   if (std::exchange(end_requested_, false) && n == 0 && !HasUnreadBytes()) return EndReading();
@@ -290,7 +291,7 @@
 // from its last byte, which may have been in the socket for long when it is read. During a stop, the response
 // is due at the latest kResponseReserve before the deadline of the stop.
 Steady::time_point Clients::Session::ResponseDeadline() const {
-  const auto due = reader_.earliest_end() + std::chrono::duration_cast<Steady::duration>(client_timeout_);
+  const auto due = reader_.EarliestEnd() + std::chrono::duration_cast<Steady::duration>(client_timeout_);
   return owner_->stopping_ ? std::min(due, owner_->stop_deadline_ - kResponseReserve) : due;
 }
 
--- a/src/proxy/client/session.h
+++ b/src/proxy/client/session.h
@@ -25,7 +25,8 @@
   // The position in the owner's list of sessions.
   std::list<std::shared_ptr<Session>>::iterator place;
 
-  void Start();
+  // Starts to read. What the client has sent so far arrived no earlier than `arrived_at`.
+  void Start(Steady::time_point arrived_at);
   // Closes the connection at once, even during a request or response. The client may see a reset.
   void Close();
   // Ends a connection that waits for bytes of its client: shuts down the sending side, so that the client
--- a/src/proxy/clients.cpp
+++ b/src/proxy/clients.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "client/peer_state.h"
 #include "client/session.h"
 
 namespace load_balancer::proxy {
@@ -91,6 +92,7 @@
 }
 
 Clients::AcceptResult Clients::AcceptOne() {
+  if (!queue_began_) queue_began_ = Steady::now();
   // The connection to close or evict is chosen here but closed only after a new one has been accepted.
   const std::size_t max_sessions = max_connections_(),
                     ending = sessions_.size() < max_sessions ? 0 : CountEnding();
@@ -101,7 +103,10 @@
   }
   Error failed;
   Tcp::socket socket = acceptor_.accept(io_, failed);
-  if (failed == asio::error::would_block) return AcceptResult::kQueueEmpty;
+  if (failed == asio::error::would_block) {
+    queue_began_.reset();
+    return AcceptResult::kQueueEmpty;
+  }
   if (failed == asio::error::connection_aborted) return AcceptResult::kAccepted;
   if (failed) {  // no descriptor is left
     if (closing || (closing = LongestClosing())) closing->Close();
@@ -110,13 +115,21 @@
   }
   if (closing) closing->Close();
   if (evicted) evicted->End();
+  const auto arrived_at = ArrivalTime(socket);
   sessions_.push_back(std::make_shared<Session>(*this, std::move(socket)));
   const auto session = sessions_.back();
   session->place = std::prev(sessions_.end());
-  session->Start();
+  session->Start(arrived_at);
   return AcceptResult::kAccepted;
 }
 
+// Returns the earliest time at which the bytes of a connection that has just been accepted can have arrived.
+Steady::time_point Clients::ArrivalTime(Tcp::socket& socket) const {
+  const auto now = Steady::now();
+  const auto since_arrival = TimeSinceLastArrival(socket.native_handle());
+  return since_arrival ? std::max(*queue_began_, now - *since_arrival) : now;
+}
+
 void Clients::RetryAcceptLater() {
   accept_retry_timer_.expires_after(kAcceptRetryDelay);
   accept_retry_timer_.async_wait([this](const Error& cancelled) {
--- a/src/proxy/clients.h
+++ b/src/proxy/clients.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 
 #include "backends.h"
 #include "body.h"
@@ -100,6 +101,7 @@
   void Accept();
   void AcceptBatch();
   AcceptResult AcceptOne();
+  Steady::time_point ArrivalTime(boost::asio::ip::tcp::socket& socket) const;
   void RetryAcceptLater();
   bool AcceptQueued();
   std::shared_ptr<Session> ConnectionToEvict() const;
@@ -121,6 +123,8 @@
   std::list<std::shared_ptr<Session>> sessions_;  // ordered by the last bytes received, oldest first
   bool accepting_ = false, waiting_for_capacity_ = false, draining_ = false, stopping_ = false,
        acceptor_closed_ = false;
+  // Since when connections may have been waiting in the accept queue; not set if it was empty when last seen.
+  std::optional<Steady::time_point> queue_began_;
   std::function<void()> on_stopped_;
   Steady::duration min_idle_at_stop_{};
   Steady::time_point stop_deadline_{};
--- a/tests/client/body_deadline_test.cpp
+++ b/tests/client/body_deadline_test.cpp
@@ -6,8 +6,10 @@
 
 #include <atomic>
 #include <chrono>
+#include <memory>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "backend/blocked_listener.h"
 #include "loopback.h"
@@ -130,6 +132,45 @@
   EXPECT_LE(response.after_last_byte, kDeadline + kLateResponse);
 }
 
+// Guards against a deadline that starts again when a request is read that did not fit into the buffer behind
+// the ones before it.
+TEST(BodyDeadline, ARequestThatCouldNotBeReadAheadHasOnlyTheTimeThatIsLeft) {
+  constexpr std::size_t kLargePartOfTheBuffer = 15'000;
+  std::atomic<int> requests{0};
+  Backend server([&](Tcp::socket& socket, const HttpRequest&) {
+    const int number = requests++;
+    if (number == 3) return true;  // no response
+    if (number == 0) std::this_thread::sleep_for(kDeadline * 3 / 5);
+    SendRaw(socket, OkAnswer("served"));
+    return true;
+  });
+  FakeDiscovery discovery;
+  RunningProxy proxy(ConfigJson(discovery.address(), Members(MemberJson("s-1", server.address()))));
+  const std::string ahead = UploadOf(10) + UploadOf(kLargePartOfTheBuffer) + UploadOf(kLargePartOfTheBuffer);
+  const TimedResponse response = SendAndTime(proxy.address, ahead + UploadOf(10), 4);
+  EXPECT_EQ(response.status, 502u);
+  EXPECT_LE(response.after_last_byte, kDeadline + kLateResponse);
+}
+
+// Guards against a deadline that starts again when a connection is accepted that has waited for a place, here
+// behind newcomers that stop half way.
+TEST(BodyDeadline, AConnectionThatWaitsToBeAcceptedHasOnlyTheTimeThatIsLeft) {
+  constexpr int kCrowd = 50;
+  const SilentServer server(kGiveUp);
+  FakeDiscovery discovery;
+  auto config = ConfigJson(discovery.address(), Members(MemberJson("s-1", server.address())));
+  config["limits"]["sockets"] = 64;
+  RunningProxy proxy(config);
+  std::vector<std::unique_ptr<Client>> crowd;
+  for (int i = 0; i < kCrowd; ++i) {
+    crowd.push_back(std::make_unique<Client>(proxy.address));
+    crowd.back()->Send("GET /half HT");
+  }
+  const TimedResponse response = SendAndTime(proxy.address, UploadOf(10));
+  EXPECT_NE(response.status, 200u);
+  EXPECT_LE(response.after_last_byte, kDeadline + kLateResponse);
+}
+
 // A client that still sends has all of its time ahead: a slow upload is no late one.
 TEST(BodyDeadline, ASlowUploadToAServerThatReadsIsNotGivenUp) {
   Backend server;
--- a/tests/fleet/maintenance_test.cpp
+++ b/tests/fleet/maintenance_test.cpp
@@ -64,7 +64,13 @@
     return ids;
   }
   void ExpectEverywhere(const std::set<std::string>& detached) {
-    for (std::size_t i = 0; i < kMembers; ++i) EXPECT_EQ(DetachedAt(i), detached) << Cluster::Name(i);
+    for (std::size_t i = 0; i < kMembers; ++i)
+      EXPECT_EQ(DetachedAt(i), detached) << Cluster::Name(i) << '\n' << LogOf(i);
+  }
+  std::string LogOf(std::size_t member) {
+    std::string log;
+    for (const std::string& line : cluster->process(member).Lines()) log += line + '\n';
+    return log + Operate(member, "LEASES");
   }
   // Cuts the holder off, has it detach s-1 and waits for another holder. Returns both.
   struct Handover {
