Publish a kept maintenance change for each later set that lacks it, not once at the join

Cause: the restarted member published its kept changes when its node reported the join. A node reports it with the member table of a peer; a member whose table gossip has completed before is sent none, and the join is never reported.

Change: for each set under a later lease that lacks a kept change, its member publishes the change. As it may do so more than once, keys carry the member's name, so that an older change takes the place of no other member's later one. Pushing a stored value once more is not needed any more and is gone. The join is logged.

A failed run prints the members' logs.

--- a/src/fleet/node/node.h
+++ b/src/fleet/node/node.h
@@ -83,8 +83,6 @@
 
   /// Publishes a value of a role that has no lease; see kUnfencedToken.
   void PublishUnfenced(FencedValue value);
-  /// Pushes a stored value once more, for members that have missed it. Does nothing if it is not stored.
-  void PushAgain(const std::string& key) { state_.PushAgain(key); }
 
   /// Sends a payload to the channel's subscriber at another member. A member without a subscriber drops the
   /// payload. The payload may also be lost, like any datagram. Returns false and sends nothing if the
--- a/src/fleet/node/state_exchange.h
+++ b/src/fleet/node/state_exchange.h
@@ -46,8 +46,6 @@
   void Announce(Ejection ejection) { gossip_.Announce(UnixMilliseconds(), std::move(ejection)); }
   void Announce(KeyAffinity affinity) { gossip_.Announce(UnixMilliseconds(), std::move(affinity)); }
   void Announce(std::vector<FencedValue> values) { gossip_.Announce(UnixMilliseconds(), std::move(values)); }
-  /// Pushes a stored fenced value once more, for members that have missed it.
-  void PushAgain(const std::string& key) { gossip_.PushAgain(UnixMilliseconds(), key); }
   /// Sends entries that the bandwidth limit has delayed. Call this periodically.
   void ContinuePush() { gossip_.ContinuePush(UnixMilliseconds()); }
 
--- a/src/fleet/state/gossip.cpp
+++ b/src/fleet/state/gossip.cpp
@@ -161,9 +161,4 @@
   PushNewEntries(now);
 }
 
-void StateGossip::PushAgain(UnixMs now, const std::string& key) {
-  state_.MarkUnpushed({key});
-  PushNewEntries(now);
-}
-
 }  // namespace load_balancer::fleet
--- a/src/fleet/state/gossip.h
+++ b/src/fleet/state/gossip.h
@@ -60,9 +60,6 @@
   void Announce(UnixMs now, KeyAffinity affinity) { state_.Write(now, std::move(affinity)); }
   void Announce(UnixMs now, std::vector<FencedValue> values);
 
-  /// Pushes a stored fenced value once more.
-  void PushAgain(UnixMs now, const std::string& key);
-
   SharedState& state() { return state_; }
 
  private:
--- a/src/fleet/state/state.cpp
+++ b/src/fleet/state/state.cpp
@@ -111,10 +111,6 @@
   for (const EntryKey& key : keys) unpushed_.erase(key);
 }
 
-void SharedState::MarkUnpushed(const FencedValueKey& key) {
-  if (store_.Find(key)) unpushed_.insert(key);
-}
-
 std::vector<json> SharedState::PackAll(UnixMs now, std::size_t max_bytes) {
   return PackMissing(now, json::array(), FullRange(), max_bytes);
 }
--- a/src/fleet/state/state.h
+++ b/src/fleet/state/state.h
@@ -70,9 +70,6 @@
   PackedPush PackPush(UnixMs now, std::size_t max_bytes);
   /// Marks entries as pushed. PackPush skips a marked entry until the entry changes.
   void MarkPushed(const std::vector<EntryKey>& keys);
-  /// Makes PackPush pack the value once more, for members that have missed its push. Does nothing if the
-  /// value is not stored.
-  void MarkUnpushed(const FencedValueKey& key);
   /// Packs all entries, in arrays of at most `max_bytes` each.
   std::vector<nlohmann::json> PackAll(UnixMs now, std::size_t max_bytes);
   /// Packs the entries in `range` that a peer lacks or has in another version (see anti_entropy.h).
--- a/src/proxy/fleet_link/fleet_link.cpp
+++ b/src/proxy/fleet_link/fleet_link.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "base/log.h"
 #include "core/module_driver.h"
 #include "core/server_directory.h"
 #include "federation/spill_service.h"
@@ -29,7 +30,7 @@
   if (!config.fleet.on) return;
   const std::uint64_t seed = config.seed ^ StableHash(config.name);
   discovery_.Know(config.known.members);
-  maintenance_.Begin();
+  maintenance_.LoadChanges();
   fleet::NodeOptions options;
   options.duties = LeasedRolesOf(config);
   options.votes = votes;
@@ -54,8 +55,8 @@
 void FleetLink::OnLimitShare(int max_in_flight) { module_.Feed(ServerConcurrencyLimit{max_in_flight}); }
 
 void FleetLink::OnJoined() {
+  log::Info("fleet", "joined: has the state of a peer");
   recovery_.OnJoined();
-  maintenance_.OnJoined();
 }
 
 // A new holder says everything anew, under its own token.
--- a/src/proxy/fleet_link/maintenance_duty.cpp
+++ b/src/proxy/fleet_link/maintenance_duty.cpp
@@ -20,24 +20,33 @@
 
 constexpr char kChangeKeyPrefix[] = "maintenance/";
 // The fields of a published change.
+constexpr char kId[] = "id";
 constexpr char kIsDetached[] = "out";
 constexpr char kToken[] = "token";
 
-std::string KeyOf(const std::string& id) { return kChangeKeyPrefix + id; }
-
-// Returns the id of the backend of a published change, or an empty string if the key is not that of a change.
-std::string IdOf(const std::string& key) {
-  const std::string prefix = kChangeKeyPrefix;
-  return key.starts_with(prefix) ? key.substr(prefix.size()) : "";
+// Returns the key of a member's change. Members have keys of their own, so that a change that is published
+// again takes the place of no other member's later one.
+std::string KeyOf(const std::string& member, const std::string& id) {
+  return kChangeKeyPrefix + id + '/' + member;
 }
 
-std::optional<MaintenanceChange> ReadChange(const fleet::FencedValue& value) {
+// PublishedChange is a change as another member has published it.
+struct PublishedChange {
+  std::string id;
+  MaintenanceChange change;
+};
+
+std::optional<PublishedChange> ReadChange(const fleet::FencedValue& value) {
   if (!value.value.is_object()) return std::nullopt;
+  const auto id = value.value.find(kId);
   const auto is_detached = value.value.find(kIsDetached);
   const auto token = value.value.find(kToken);
-  if (is_detached == value.value.end() || !is_detached->is_boolean()) return std::nullopt;
-  if (token == value.value.end() || !token->is_number_unsigned()) return std::nullopt;
-  return MaintenanceChange{is_detached->get<bool>(), token->get<fleet::FencingToken>(), value.until};
+  const auto end = value.value.end();
+  if (id == end || !id->is_string() || id->get_ref<const std::string&>().empty()) return std::nullopt;
+  if (is_detached == end || !is_detached->is_boolean()) return std::nullopt;
+  if (token == end || !token->is_number_unsigned()) return std::nullopt;
+  return PublishedChange{id->get<std::string>(),
+                         {is_detached->get<bool>(), token->get<fleet::FencingToken>(), value.until}};
 }
 
 fleet::UnixMs EndOfLifeFromNow() {
@@ -47,7 +56,9 @@
 
 }  // namespace
 
-void MaintenanceDuty::Begin() { changes_.Load(UnixMilliseconds()); }
+// Called again for each value of another member: a process that this one replaces in a hot restart, and that
+// was in the fleet until then, may have kept changes after this one was started.
+void MaintenanceDuty::LoadChanges() { changes_.Load(UnixMilliseconds()); }
 
 void MaintenanceDuty::Change(const OperatorCall& call, OnReply reply) {
   const bool out = call.verb == OperatorCall::Verb::kDetach;
@@ -74,18 +85,10 @@
 
 void MaintenanceDuty::Announce(const std::string& id, const MaintenanceChange& change) {
   fleet_.node()->PublishUnfenced({fleet::kMaintenanceChanges,
-                                  KeyOf(id),
+                                  KeyOf(member_, id),
                                   fleet::kUnfencedToken,
                                   change.until,
-                                  {{kIsDetached, change.is_detached}, {kToken, change.token}}});
-}
-
-// A former process of this proxy may have acknowledged changes that no other member has heard of.
-void MaintenanceDuty::OnJoined() {
-  if (!fleet_.node()->has_leases()) return;
-  changes_.Load(UnixMilliseconds());
-  for (const auto& [id, change] : changes_.UnsettledOwn()) Announce(id, change);
-  ApplyChanges();
+                                  {{kId, id}, {kIsDetached, change.is_detached}, {kToken, change.token}}});
 }
 
 void MaintenanceDuty::OnLeaseStatus() { PublishIfHolder(); }
@@ -95,18 +98,19 @@
   std::set<std::string> out;
   for (const nlohmann::json& id : fact.value)
     if (id.is_string() && !id.get<std::string>().empty()) out.insert(id.get<std::string>());
+  LoadChanges();
   changes_.Settle(out, fact.token, UnixMilliseconds());
-  // The holder has not heard of the changes of this process that are still left.
+  // The holder has not heard of the changes of this member that are still left, or has been restarted since.
   for (const auto& [id, change] : changes_.UnsettledOwn())
-    if (change.token < fact.token) fleet_.node()->PushAgain(KeyOf(id));
+    if (change.token < fact.token) Announce(id, change);
   controller_.Replace(changes_.ApplyTo(std::move(out)));
 }
 
 void MaintenanceDuty::OnChange(const fleet::FencedValue& value) {
-  const std::string id = IdOf(value.key);
-  const auto change = ReadChange(value);
-  if (id.empty() || !change || !fleet_.node()->has_leases()) return;
-  changes_.Merge(id, *change);
+  const auto published = ReadChange(value);
+  if (!published || !fleet_.node()->has_leases()) return;
+  LoadChanges();
+  changes_.Merge(published->id, published->change);
   ApplyChanges();
 }
 
--- a/src/proxy/fleet_link/maintenance_duty.h
+++ b/src/proxy/fleet_link/maintenance_duty.h
@@ -22,21 +22,19 @@
 
 class MaintenanceDuty {
  public:
-  // Both references outlive the last call; they need not be made yet. `path` names the file of
-  // MaintenanceChanges.
-  MaintenanceDuty(FleetLink& fleet, MaintenanceController& controller, std::string path)
-      : fleet_(fleet), controller_(controller), changes_(std::move(path)) {}
+  // Both references outlive the last call; they need not be made yet. `member` is the name of this process in
+  // the fleet, `path` names the file of MaintenanceChanges.
+  MaintenanceDuty(FleetLink& fleet, MaintenanceController& controller, std::string member, std::string path)
+      : fleet_(fleet), controller_(controller), member_(std::move(member)), changes_(std::move(path)) {}
 
   // Reads what a former process has kept. Called before the process joins the fleet.
-  void Begin();
+  void LoadChanges();
 
   // DETACH or ATTACH: made under the lease, where duties have leases; the reply says if it is another's.
   void Change(const OperatorCall& call, OnReply reply);
 
   // This process has become the duty's holder, or is it no more.
   void OnLeaseStatus();
-  // The process has joined the fleet and has its shared state.
-  void OnJoined();
   // The holder has published the whole set.
   void OnFact(const fleet::FencedValue& fact);
   // Another member has published a single change.
@@ -53,6 +51,7 @@
 
   FleetLink& fleet_;
   MaintenanceController& controller_;
+  const std::string member_;
   MaintenanceChanges changes_;
 };
 
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -43,7 +43,7 @@
       verdicts_(module_),
       federation_(module_, pending_),
       fleet_(module_, servers_, discovery_, maintenance_, recovery_),
-      maintenance_(fleet_, maintenance_controller_, InState(*config_, ".maintenance-changes")),
+      maintenance_(fleet_, maintenance_controller_, config_->name, InState(*config_, ".maintenance-changes")),
       requests_(module_, pending_, servers_, backends_, fleet_, federation_),
       limits_(config_->sockets, hot_restart_, buffers_, clients_, backends_, federation_),
       servers_(config_->zones, config_->kinds, module_, backends_, verdicts_),
--- a/tests/fleet/maintenance_test.cpp
+++ b/tests/fleet/maintenance_test.cpp
@@ -6,6 +6,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <iostream>
 #include <memory>
 #include <set>
 #include <string>
@@ -64,13 +65,14 @@
     return ids;
   }
   void ExpectEverywhere(const std::set<std::string>& detached) {
-    for (std::size_t i = 0; i < kMembers; ++i)
-      EXPECT_EQ(DetachedAt(i), detached) << Cluster::Name(i) << '\n' << LogOf(i);
+    for (std::size_t i = 0; i < kMembers; ++i) EXPECT_EQ(DetachedAt(i), detached) << Cluster::Name(i);
+    if (HasFailure()) std::cerr << LogOfAll();
   }
-  std::string LogOf(std::size_t member) {
+  std::string LogOfAll() {
     std::string log;
-    for (const std::string& line : cluster->process(member).Lines()) log += line + '\n';
-    return log + Operate(member, "LEASES");
+    for (std::size_t i = 0; i < kMembers; ++i)
+      for (const std::string& line : cluster->process(i).Lines()) log += line + '\n';
+    return log;
   }
   // Cuts the holder off, has it detach s-1 and waits for another holder. Returns both.
   struct Handover {
