Test by drawn cuts, restarts and commands that no acknowledged DETACH or ATTACH is undone

Change: a seeded soak of three members: the holder is cut off, restarted or both, it and the next holder take commands, and at the end all members have what the last acknowledged command of each backend asked for.

--- a/tests/fleet/maintenance_test.cpp
+++ b/tests/fleet/maintenance_test.cpp
@@ -4,13 +4,18 @@
 // holder of the lease, and the later of two commands wins.
 #include <gtest/gtest.h>
 
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
+#include <iterator>
 #include <memory>
+#include <random>
 #include <set>
+#include <sstream>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "cluster.h"
 
@@ -136,5 +141,77 @@
   ExpectEverywhere({});
 }
 
+// Draws cuts, restarts and commands, and keeps what the last acknowledged command of each backend has asked
+// for.
+class FleetMaintenanceSoak : public FleetMaintenance {
+ protected:
+  static constexpr int kRounds = 6;
+
+  // Returns the seeds in MAINTENANCE_SOAK_SEEDS, by default 4.
+  static std::vector<unsigned> Seeds() {
+    const char* const text = std::getenv("MAINTENANCE_SOAK_SEEDS");
+    std::istringstream words(text ? text : "4");
+    return {std::istream_iterator<unsigned>(words), {}};
+  }
+  bool Draw(int one_of) { return random_() % static_cast<unsigned>(one_of) == 0; }
+
+  void CommandAt(std::size_t holder) {
+    const std::string id = Draw(2) ? "s-1" : "s-2";
+    const bool detach = Draw(2);
+    const std::string reply = Operate(holder, (detach ? "DETACH " : "ATTACH ") + id);
+    if (!reply.starts_with("ACK")) return;
+    if (detach)
+      expected_.insert(id);
+    else
+      expected_.erase(id);
+  }
+  void RunRound() {
+    const std::size_t holder = WaitForHolder();
+    ASSERT_LT(holder, kMembers);
+    const bool is_cut = !Draw(3);
+    if (is_cut) cluster->Cut({holder});
+    CommandAt(holder);
+    if (Draw(2)) CommandAt(holder);
+    const bool is_restarted = Draw(2);
+    if (is_restarted) cluster->Restart(holder);
+    if (is_cut || is_restarted) {
+      const std::size_t next = WaitForHolder(AllBut(holder));
+      ASSERT_TRUE(next < kMembers || !is_cut);
+      if (next < kMembers && Draw(2)) CommandAt(next);
+    }
+    cluster->Heal();
+    WaitUntilEverywhere(expected_);
+  }
+  void WaitUntilEverywhere(const std::set<std::string>& detached) {
+    const auto until = std::chrono::steady_clock::now() + 2 * kSettled;
+    const auto has_all = [&] {
+      for (std::size_t i = 0; i < kMembers; ++i)
+        if (DetachedAt(i) != detached) return false;
+      return true;
+    };
+    while (!has_all() && std::chrono::steady_clock::now() < until)
+      std::this_thread::sleep_for(milliseconds(50));
+    ExpectEverywhere(detached);
+  }
+  void Run(unsigned seed) {
+    random_.seed(seed);
+    for (int round = 0; round < kRounds && !HasFailure(); ++round) {
+      SCOPED_TRACE("seed " + std::to_string(seed) + " round " + std::to_string(round));
+      RunRound();
+    }
+    std::this_thread::sleep_for(kSettled);
+    ExpectEverywhere(expected_);
+  }
+
+  std::mt19937 random_;
+  std::set<std::string> expected_;
+};
+
+// Guards against any way in which cuts and restarts of the holder undo an acknowledged command.
+TEST_F(FleetMaintenanceSoak, KeepsTheLastAcknowledgedCommandOfEachBackend) {
+  ASSERT_TRUE(cluster->WaitUntilAllAlive());
+  for (const unsigned seed : Seeds()) Run(seed);
+}
+
 }  // namespace
 }  // namespace load_balancer::testing::fleet
