--- a/tests/policy/retries_test.cpp
+++ b/tests/policy/retries_test.cpp
@@ -108,7 +108,7 @@
 // Guards against a retry that is written after a short window, as the process is held up between reading its
 // clock and writing.
 TEST(Retries, WithAnIdempotencyKeyLeaveTimeForAProcessThatIsHeldUp) {
-  constexpr Duration kHeldUp{150};  // STANDING, "What production adds"
+  constexpr Duration kHeldUp{150};  // the longest time that a process has to be able to bear
   for (const Duration window : {Duration(100), Duration(500), Duration(1000), Duration(5000)}) {
     SCOPED_TRACE(window.count());
     Settings settings = DefaultSettings();
