Do not cut off responses that still make progress or are not due yet

Callers saw part of a response.

Causes, one class: a time limit on a step in place of one on progress. A write to a client had 10 s, but ends only when a third of the system's send buffer is free, which takes a slow reader longer. A streamed response had 10 s between two pieces, whenever it was due. An attempt's own time-out ended a response of known length that was still arriving, and began the request anew.

Now a client's connection ends if its system has acknowledged nothing for 10 s; a streamed response may stall until it is due, and 10 s at least; an attempt that times out within its response goes on if a piece came in the last 0.5 s.

--- a/src/proxy/backend/connection.cpp
+++ b/src/proxy/backend/connection.cpp
@@ -17,6 +17,8 @@
 using Tcp = asio::ip::tcp;
 
 constexpr std::chrono::seconds kPieceTimeout{10};  // for a piece of a body to be written or received
+// A server that has sent a part of its response within this time is still writing.
+constexpr std::chrono::milliseconds kRecentProgress{500};
 constexpr const char* kTimeLeftHeader = "Req-Deadline-Ms";
 
 Steady::duration ToSteady(Duration d) { return std::chrono::ceil<Steady::duration>(d); }
@@ -156,7 +158,7 @@
 
 void Backends::Connection::OnTimer() {
   if (!HasAttempt()) return Close();  // idle for too long
-  if (IsBuffering()) return StartStreaming();
+  if (IsBuffering() || IsStillReceiving()) return StartStreaming();
   const auto now = Steady::now();
   const bool is_sending = phase_ == Phase::kSending;
   // The last byte was written in time, but the handler of its write has not been called yet.
@@ -172,6 +174,19 @@
          reader_.HasUnknownLength() && Steady::now() < deadline_;
 }
 
+// Returns whether the server is writing a response that can still arrive in time. Another attempt would only
+// begin anew.
+bool Backends::Connection::IsStillReceiving() const {
+  const auto now = Steady::now();
+  return phase_ == Phase::kReading && !streaming_ && reader_.body_bytes() > 0 && outcome_ == Outcome::kOk &&
+         now < request_.due && now - last_piece_at_ <= kRecentProgress;
+}
+
+// Returns when a streamed response has stalled for too long: not before it is due.
+Steady::time_point Backends::Connection::StreamDeadline() const {
+  return std::max({Steady::now() + kPieceTimeout, request_.due, deadline_});
+}
+
 // Finishes an attempt that got no response. The request cannot have run unless its last byte was written,
 // even if the handler of that write has not been called yet.
 void Backends::Connection::FinishWithoutResponse(Outcome outcome) {
@@ -276,7 +291,7 @@
 void Backends::Connection::ReadPiece() {
   if (reader_.IsDone()) return OnPieceRead({}, 0);
   read_in_progress_ = true;
-  if (streaming_) SetTimer(Steady::now() + kPieceTimeout);
+  if (streaming_) SetTimer(StreamDeadline());
   if (IsBuffering()) SetTimer(std::min(deadline_, reader_.buffer_until()));
   reader_.ReadPiece(socket_, owner_->memory_.piece_bytes(),
                     [self = shared_from_this(), use = use_number_](const Error& failed) {
@@ -297,6 +312,7 @@
     return FinishWithoutResponse(Outcome::kReset);
   }
   reader_.CountBodyBytes(n);
+  last_piece_at_ = Steady::now();
   response_complete_ = reader_.IsDone();
   if (outcome_ != Outcome::kOk) return DiscardBody();
   if (streaming_) {
@@ -323,7 +339,7 @@
   head.body = shared_from_this();
   streaming_ = true;
   ClearTimer();
-  if (read_in_progress_) SetTimer(Steady::now() + kPieceTimeout);
+  if (read_in_progress_) SetTimer(StreamDeadline());
   events_.stream_started(std::move(head));
 }
 
--- a/src/proxy/backend/connection.h
+++ b/src/proxy/backend/connection.h
@@ -70,6 +70,8 @@
   // request.
   bool IsWritten() const { return phase_ != Phase::kConnecting && writer_.IsWritten(); }
   bool IsBuffering() const;
+  bool IsStillReceiving() const;
+  Steady::time_point StreamDeadline() const;
   void ClearTimer();
   void SetTimer(Steady::time_point at);
   void OnTimer();
@@ -105,6 +107,7 @@
   OnPiece on_piece_;
   Outcome outcome_ = Outcome::kUnknown;
   Steady::time_point deadline_{}, idle_since_{};
+  Steady::time_point last_piece_at_{};   // when a part of the response's body was last received
   Steady::time_point write_deadline_{};  // no later than deadline_; the last byte must be written before it
   std::uint64_t use_number_ = 0, timer_number_ = 0;
   Phase phase_ = Phase::kConnecting;
--- a/src/proxy/backends.h
+++ b/src/proxy/backends.h
@@ -57,6 +57,7 @@
       head;  // includes Content-Length or Transfer-Encoding, but not Req-Deadline-Ms
   std::shared_ptr<const std::string> complete_body;  // a completely buffered body
   std::shared_ptr<BodySource> body;                  // a streamed body
+  Steady::time_point due{};   // when the response is due, which may be later than the attempt's time-out
   Duration write_timeout{0};  // time from Send to the last byte, after which it is not written; 0: none
 };
 
--- a/src/proxy/client/peer_state.h
+++ b/src/proxy/client/peer_state.h
@@ -5,6 +5,7 @@
 #define LOAD_BALANCER_PROXY_CLIENT_PEER_STATE_H_
 
 #include <chrono>
+#include <cstdint>
 #include <optional>
 
 namespace load_balancer::proxy {
@@ -18,6 +19,14 @@
 // established if none have. Returns nothing if the operating system cannot tell. See tcp(7), TCP_INFO.
 std::optional<std::chrono::milliseconds> TimeSinceLastArrival(int socket);
 
+// Returns how many bytes the peer's system has acknowledged since the connection began, or nothing if the
+// system does not tell.
+std::optional<std::uint64_t> AcknowledgedBytes(int socket);
+
+// Returns whether the peer's system has acknowledged all bytes written to the socket. A peer that has closed
+// its connection answers them with a reset instead. Also true if the system does not tell.
+bool HasAcknowledgedAll(int socket);
+
 }  // namespace load_balancer::proxy
 
 #endif  // LOAD_BALANCER_PROXY_CLIENT_PEER_STATE_H_
--- a/src/proxy/client/session.cpp
+++ b/src/proxy/client/session.cpp
@@ -36,7 +36,10 @@
 }  // namespace
 
 Clients::Session::Session(Clients& owner, Tcp::socket socket)
-    : owner_(&owner), stream_(std::move(socket)), close_check_timer_(stream_.get_executor()) {}
+    : owner_(&owner),
+      stream_(std::move(socket)),
+      close_check_timer_(stream_.get_executor()),
+      write_timer_(stream_.get_executor()) {}
 
 void Clients::Session::Start(Steady::time_point arrived_at) {
   Error ignored;
@@ -59,6 +62,7 @@
   state_ = State::kClosed;
   stream_.close();
   close_check_timer_.cancel();
+  write_timer_.cancel();
   if (const auto source = std::exchange(response_source_, nullptr)) source->Abandon();
   if (const auto on_piece = std::exchange(on_piece_, nullptr)) on_piece(Piece::Broken());
   reservation_.Release();
--- a/src/proxy/client/session.h
+++ b/src/proxy/client/session.h
@@ -108,6 +108,9 @@
   void BeginResponse();
   void WriteResponsePiece(std::string piece, bool last);
   void OnResponseWritten();
+  void AwaitReset();
+  void ReadNextRequest();
+  void WatchWrite();
   void PullResponse();
   void AbortResponse();
   void ShutSending();
@@ -117,6 +120,7 @@
   boost::beast::tcp_stream stream_;
   boost::asio::steady_timer
       close_check_timer_;  // checks for a close by the client while the reader's buffer is full
+  boost::asio::steady_timer write_timer_;  // while a part of the response is being written
   State state_ = State::kReading;
 
   // State of the request.
--- a/src/proxy/client/session_response.cpp
+++ b/src/proxy/client/session_response.cpp
@@ -84,14 +84,30 @@
 }
 
 void Clients::Session::WriteResponsePiece(std::string piece, bool last) {
-  stream_.expires_after(kWriteTimeout);
+  stream_.expires_never();
+  WatchWrite();
   writer_.Write(stream_, std::move(piece), last, [self = shared_from_this(), last](const Error& failed) {
     if (self->state_ != State::kWriting) return;
+    self->write_timer_.cancel();
     if (failed) return self->Close();
     last ? self->OnResponseWritten() : self->PullResponse();
   });
 }
 
+// Closes the connection of a client that reads nothing of its response for kWriteTimeout. What it has read is
+// known from what its system has acknowledged, as a write ends only once the buffers of the system have much
+// room.
+void Clients::Session::WatchWrite() {
+  const auto acknowledged = AcknowledgedBytes(stream_.socket().native_handle());
+  write_timer_.expires_after(kWriteTimeout);
+  write_timer_.async_wait([self = shared_from_this(), acknowledged](const Error& cancelled) {
+    if (cancelled || self->state_ != State::kWriting) return;
+    if (AcknowledgedBytes(self->stream_.socket().native_handle()) != acknowledged) return self->WatchWrite();
+    self->owner_->events_.Note(EventKind::kWriteStalled);
+    self->Close();
+  });
+}
+
 void Clients::Session::PullResponse() {
   stream_.expires_never();  // the source has its own time limits
   response_source_->Next([weak = weak_from_this()](Piece piece) {
--- a/src/proxy/core/requests.cpp
+++ b/src/proxy/core/requests.cpp
@@ -126,6 +126,7 @@
   out.head = pending->message->base();
   out.complete_body = {pending->message, &pending->message->body()};
   out.body = pending->body;
+  out.due = pending->due;
   out.write_timeout = action.write_timeout;
   if (pending->key != 0 && fleet_.node())
     fleet_.node()->Announce(fleet::KeyAffinity{pending->key, servers_.numbers().IdOf(action.server)});
