Do not forward an id again that may be running or has run for a client that left

Nothing remembered an id beyond its connection. A request that has not run, or is idempotent, may come again.

--- a/src/proxy/core/pending.h
+++ b/src/proxy/core/pending.h
@@ -14,6 +14,7 @@
 #include "body.h"
 #include "clients.h"
 #include "clock.h"
+#include "core/request_ids.h"
 #include "load_balancer/balancer.h"
 #include "quota/account.h"
 #include "request.h"
@@ -29,6 +30,8 @@
   Steady::time_point due{};
   std::shared_ptr<Responder> responder;  // null once the request has its final response
   std::uint64_t key = 0;
+  RequestIds::Key id_key = 0;           // of the Req-Id if the request must not run twice; otherwise 0
+  bool has_client_left = false;         // before the end of the response
   quota::ChargeReceipt charge_receipt;  // the charge to the tenant's budget
   RequestReceived received;             // the event that the module got
   TimePoint arrived_at{};
@@ -42,6 +45,9 @@
 
 class PendingRequests {
  public:
+  // `ids` must outlive this object.
+  explicit PendingRequests(RequestIds& ids) : ids_(ids) {}
+
   // Returns a new id. A request that is answered before Add has an id as well.
   RequestId NextId() { return ++last_id_; }
   void Add(RequestId id, PendingRequest request) { requests_.emplace(id, std::move(request)); }
@@ -62,12 +68,15 @@
     const auto found = requests_.find(id);
     if (found == requests_.end()) return;
     const PendingRequest& request = found->second;
-    if (!request.responder && !request.has_outstanding_attempt) requests_.erase(found);
+    if (request.responder || request.has_outstanding_attempt) return;
+    if (request.id_key != 0 && !request.has_client_left) ids_.Remove(request.id_key);
+    requests_.erase(found);
   }
 
   std::size_t size() const { return requests_.size(); }
 
  private:
+  RequestIds& ids_;
   RequestId last_id_ = 0;
   std::unordered_map<RequestId, PendingRequest> requests_;
 };
--- a/src/proxy/core/requests.cpp
+++ b/src/proxy/core/requests.cpp
@@ -50,6 +50,13 @@
   }
 }
 
+// Returns the key of the request's id if it must not run twice, otherwise 0.
+RequestIds::Key IdKeyOf(const ClientRequest& request) {
+  if (request.rules().class_settings.idempotency == Idempotency::kIdempotent) return 0;
+  const auto text = request.message["Req-Id"];
+  return RequestIds::KeyOf({text.data(), text.size()});
+}
+
 }  // namespace
 
 // Counts an event of the request with the given id.
@@ -74,6 +81,11 @@
   received.work_ms = request.work_ms;
   received.is_body_pending = request.body != nullptr;
   PendingRequest pending;
+  pending.id_key = IdKeyOf(request);
+  if (pending.id_key != 0 && ids_.Contains(pending.id_key)) {
+    RefuseRepeated(request, *responder);
+    return id;
+  }
   if (!federation_.Admit(request, *responder, &pending, &received)) return id;
   pending.message = std::make_shared<const HttpRequest>(std::move(request.message));
   pending.reservation = std::move(request.reservation);
@@ -89,6 +101,14 @@
   return id;
 }
 
+// A request whose id may be running, or may have run for a client that has left, cannot be forwarded. Whether
+// it has run is not known.
+void Requests::RefuseRepeated(const ClientRequest& request, Responder& responder) {
+  const auto text = request.message["Req-Id"];
+  events_.Note(EventKind::kRepeated, {text.data(), text.size()});
+  responder.Failed();
+}
+
 void Requests::OnUploaded(RequestId request, Steady::time_point due) {
   PendingRequest* const pending = pending_.Find(request);
   if (!pending) return;
@@ -99,7 +119,8 @@
 
 void Requests::OnClientGone(RequestId request) {
   if (!pending_.TakeResponder(request)) return;
-  const PendingRequest& pending = *pending_.Find(request);
+  PendingRequest& pending = *pending_.Find(request);
+  pending.has_client_left = pending.may_have_run || pending.has_outstanding_attempt;
   federation_.CreditIfNotRun(pending);
   const AttemptId attempt = pending.has_outstanding_attempt ? pending.last_attempt : 0;
   pending_.EraseIfComplete(request);
@@ -130,6 +151,7 @@
   out.write_timeout = action.write_timeout;
   if (pending->key != 0 && fleet_.node())
     fleet_.node()->Announce(fleet::KeyAffinity{pending->key, servers_.numbers().IdOf(action.server)});
+  if (pending->id_key != 0) ids_.Add(pending->id_key, pending->due);
   pending->last_attempt = backends_.Send(action.server, std::move(out), timeout, EventsFor(action, attempt));
 }
 
@@ -158,7 +180,9 @@
 void Requests::Do(const Reject& action) {
   Note(EventKind::kRejected, action.request);
   if (!federation_.Spill(action.request, action.retry_after))
-    federation_.AnswerRefused(action.request, action.retry_after);
+    return federation_.AnswerRefused(action.request, action.retry_after);
+  const PendingRequest* const pending = pending_.Find(action.request);
+  if (pending && pending->id_key != 0) ids_.Add(pending->id_key, pending->due);
 }
 
 void Requests::Do(const FailRequest& action) {
@@ -192,6 +216,9 @@
   if (pending) {
     pending->has_outstanding_attempt = false;
     pending->may_have_run |= !NeverRan(result.outcome);
+    // The client has left within its response, or before an attempt that may have run was over.
+    if (result.outcome == Outcome::kCancelled) pending->has_client_left = true;
+    if (NeverRan(result.outcome) && !pending->may_have_run) pending->has_client_left = false;
     const bool was_streamed = pending->time_to_first_byte.count() > 0;
     end.took = was_streamed ? pending->time_to_first_byte : Duration(Steady::now() - pending->sent_at);
     end.is_replayable = !pending->body || !pending->body->HasStarted();
--- a/src/proxy/core/requests.h
+++ b/src/proxy/core/requests.h
@@ -23,10 +23,11 @@
 class Requests {
  public:
   // The arguments must outlive this object. They may be constructed after it.
-  Requests(ModuleDriver& module, PendingRequests& pending, const ServerDirectory& servers, Backends& backends,
-           FleetLink& fleet, FederationLink& federation, EventCounts& events)
+  Requests(ModuleDriver& module, PendingRequests& pending, RequestIds& ids, const ServerDirectory& servers,
+           Backends& backends, FleetLink& fleet, FederationLink& federation, EventCounts& events)
       : module_(module),
         pending_(pending),
+        ids_(ids),
         servers_(servers),
         backends_(backends),
         fleet_(fleet),
@@ -48,6 +49,7 @@
 
  private:
   void Note(EventKind kind, RequestId id);
+  void RefuseRepeated(const ClientRequest& request, Responder& responder);
   void ReportNotSent(const Dispatch& action, int attempt);
   AttemptEvents EventsFor(const Dispatch& action, int attempt);
   void OnStreamStarted(RequestId request, int attempt, ResponseHead head);
@@ -55,6 +57,7 @@
 
   ModuleDriver& module_;
   PendingRequests& pending_;
+  RequestIds& ids_;
   const ServerDirectory& servers_;
   Backends& backends_;
   FleetLink& fleet_;
--- a/src/proxy/event_counts.cpp
+++ b/src/proxy/event_counts.cpp
@@ -23,6 +23,7 @@
     {"evicted", "idle connection ended for another one or for the stop"},
     {"request_evicted", "incomplete request refused for another connection or for the stop"},
     {"refused_for_memory", "request refused: no memory"},
+    {"repeated", "request not forwarded: its id came before and may have run"},
     {"rejected", "request refused: load or no server"},
     {"failed", "request failed: it may have run"},
     {"retried", "attempt repeated"},
--- a/src/proxy/event_counts.h
+++ b/src/proxy/event_counts.h
@@ -22,6 +22,7 @@
   kEvicted,           // an idle connection was ended for a new one, or for a stop
   kRequestEvicted,    // a begun request was refused for a new connection, or for a stop
   kRefusedForMemory,  // a request was refused, as there was no memory for it
+  kRepeated,          // a request was not forwarded, as its id may be running or have run
   kRejected,          // a request was refused by the decision module
   kFailed,            // a request failed and may have run
   kRetried,           // an attempt after the first one of its request
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -21,6 +21,7 @@
 #include "core/limits.h"
 #include "core/module_driver.h"
 #include "core/pending.h"
+#include "core/request_ids.h"
 #include "core/requests.h"
 #include "core/server_directory.h"
 #include "event_counts.h"
@@ -77,6 +78,7 @@
   std::size_t memory_of_others_;  // bytes that the other processes use or have set aside, as of the last poll
   MemoryBudget memory_;
   EventCounts events_;
+  RequestIds request_ids_;
   PendingRequests pending_;
   Actions actions_;
   ModuleDriver module_;
--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -399,6 +399,10 @@
 }
 inline std::string Change() { return Post("change", "Idempotency-Key: 7e\r\n"); }
 inline std::string Book() { return Post("book"); }
+inline std::string BookWithId(const std::string& id) {
+  std::string request = Book();
+  return request.replace(request.find("0b"), 2, id);
+}
 
 }  // namespace load_balancer::testing
 
