Notice a client's close behind unread input before its next request is forwarded

The end of a connection arrives behind its unread bytes, so that the proxy could not see it.

The system of a client that has closed answers a response with a reset. Where input is left in the socket, the next request of the buffer now waits for that, for 5 ms or until the response is acknowledged. A request or last piece that waited in the socket is not handed on if the end is there by then, and a request that waits for more than 75 ms behind a full buffer is not sent any more.

--- a/src/proxy/client/peer_state.cpp
+++ b/src/proxy/client/peer_state.cpp
@@ -1,9 +1,11 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "client/peer_state.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace load_balancer::proxy {
--- a/src/proxy/client/session.cpp
+++ b/src/proxy/client/session.cpp
@@ -20,6 +20,9 @@
 using Tcp = asio::ip::tcp;
 
 constexpr std::chrono::milliseconds kCloseCheckInterval{25};  // between two checks for a close by the client
+// A close by the client cannot be seen behind unread input. A request that has waited for so long behind such
+// input is not sent any more.
+constexpr std::chrono::milliseconds kMaxUnseenClose{75};
 constexpr std::chrono::milliseconds kResponseReserve{
     150};  // responses are due this long before the deadline of a stop
 
@@ -111,6 +114,7 @@
   FreeMemory(buffered_body_);
   has_started_ = false;
   reader_.BeginRequest();
+  input_has_waited_ = reader_.unparsed() > 0;
   if (read_in_progress_) return CancelRead();
   ContinueHead();
 }
@@ -136,6 +140,7 @@
 void Clients::Session::BeginRead() {
   read_in_progress_ = true;
   read_has_waited_ = !HasUnreadBytes();
+  input_has_waited_ |= !read_has_waited_;
 }
 
 // Reads into `buffer` within the time limit of the stream.
@@ -188,10 +193,21 @@
   close_check_timer_.expires_after(kCloseCheckInterval);
   close_check_timer_.async_wait([self = shared_from_this()](const Error& cancelled) {
     if (cancelled || self->read_in_progress_ || !self->OwesResponse()) return;
-    PeerHasClosed(self->stream_.socket().native_handle()) ? self->OnClientClosed() : self->ReadAhead();
+    if (self->HasClientClosed()) return self->OnClientClosed();
+    self->NoteUnseenClose();
+    self->ReadAhead();
   });
 }
 
+bool Clients::Session::HasClientClosed() { return PeerHasClosed(stream_.socket().native_handle()); }
+
+// Reports a request that is pending for long if its client's close may be hidden behind later requests. The
+// body of a streamed request is checked when its last piece is read.
+void Clients::Session::NoteUnseenClose() {
+  if (!IsPending() || body_is_streaming_ || Steady::now() - submitted_at_ < kMaxUnseenClose) return;
+  if (HasUnreadBytes()) owner_->handler_.OnClientUnknown(request_id_);
+}
+
 // Called when the client has closed its connection. The write of a complete response continues. A pending
 // request or a streamed response is aborted, because the client would not read the response.
 void Clients::Session::OnClientClosed() {
@@ -300,7 +316,10 @@
   client_timeout_ = incoming_.client_timeout;
   incoming_.due = ResponseDeadline();
   reader_.PauseBodyTimer();
+  // Where the request has waited in the socket, its client may have left since.
+  if (input_has_waited_ && HasClientClosed()) return OnClientClosed();
   state_ = State::kPending;
+  submitted_at_ = Steady::now();
   // The response may be written within OnRequest, before the request's id is known here.
   const RequestId request = owner_->handler_.OnRequest(std::move(incoming_), shared_from_this());
   request_id_ = request;
@@ -334,6 +353,7 @@
   if (failed) return OnParseError(failed);
   piece.last = reader_.IsDone();
   if (piece.bytes.empty() && !piece.last) return ReadMoreOfBody();
+  if (piece.last && input_has_waited_ && HasClientClosed()) return AbortRequest();
   reader_.PauseBodyTimer();
   const auto on_piece = std::exchange(on_piece_, nullptr);
   piece.due = ResponseDeadline();
--- a/src/proxy/client/session.h
+++ b/src/proxy/client/session.h
@@ -90,6 +90,8 @@
   void OnRead(const Error& failed, std::size_t n);
   void CancelRead();
   void ScheduleCloseCheck();
+  bool HasClientClosed();
+  void NoteUnseenClose();
   void OnClientClosed();
   void ReadHead();
   void OnHead();
@@ -131,10 +133,13 @@
   Duration client_timeout_{0};       // how long the client waits for the response
   Steady::time_point idle_since_{};  // start of the idle time, if the connection is idle
   RequestId request_id_ = 0;
+  Steady::time_point submitted_at_{};
   OnPiece on_piece_;
-  bool read_in_progress_ = false;   // OnRead will be called
-  bool read_has_waited_ = false;    // nothing had arrived when the last read began
-  bool client_closed_ = false;      // the client has closed its sending side or reset the connection
+  bool read_in_progress_ = false;  // OnRead will be called
+  bool input_has_waited_ =
+      false;                      // bytes of the request were in the socket or buffer before they were wanted
+  bool read_has_waited_ = false;  // nothing had arrived when the last read began
+  bool client_closed_ = false;    // the client has closed its sending side or reset the connection
   bool sending_continue_ = false;   // an interim response is being written
   bool reading_head_ = false;       // the next bytes belong to the head of a request
   bool body_is_streaming_ = false;  // the body is streamed and has not been received completely
@@ -150,6 +155,7 @@
   bool end_requested_ = false;                   // End was called, and no request has arrived since
   bool is_refusing_ = false;                     // the last response refuses a request that End has cut short
   Steady::time_point ending_since_{};
+  Steady::time_point response_written_at_{};
   bool has_answered_ = false;  // a response has been written on this connection
 };
 
--- a/src/proxy/client/session_response.cpp
+++ b/src/proxy/client/session_response.cpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <utility>
 
+#include "client/peer_state.h"
 #include "client/replies.h"
 #include "client/session.h"
 #include "overflow/incoming.h"
@@ -17,7 +18,9 @@
 using Tcp = asio::ip::tcp;
 
 constexpr std::chrono::seconds kWriteTimeout{10};  // for writing a response or a piece of a response
-constexpr std::chrono::seconds kCloseTimeout{2};   // for the client to close its side
+// For the reset that answers a response on a connection that its client has closed.
+constexpr std::chrono::milliseconds kResetTime{5}, kResetPoll{1};
+constexpr std::chrono::seconds kCloseTimeout{2};  // for the client to close its side
 
 }  // namespace
 
@@ -136,6 +139,24 @@
   if (close_after_response_) return ShutSending();
   if (client_closed_) return Close();
   has_answered_ = true;
+  response_written_at_ = Steady::now();
+  const bool may_hide_close = reader_.unparsed() > 0 && !read_in_progress_ && HasUnreadBytes();
+  may_hide_close ? AwaitReset() : ReadNextRequest();
+}
+
+// Waits a moment before the next request is taken from the buffer. The close of a client may be hidden behind
+// unread input, but the system of a client that has closed answers the response with a reset.
+void Clients::Session::AwaitReset() {
+  const auto waited = Steady::now() - response_written_at_;
+  if (HasClientClosed()) return Close();
+  if (waited >= kResetTime || HasAcknowledgedAll(stream_.socket().native_handle())) return ReadNextRequest();
+  close_check_timer_.expires_after(kResetPoll);
+  close_check_timer_.async_wait([self = shared_from_this()](const Error& cancelled) {
+    if (!cancelled && self->state_ == State::kWriting) self->AwaitReset();
+  });
+}
+
+void Clients::Session::ReadNextRequest() {
   Read();
   if (owner_ && owner_->waiting_for_capacity_) owner_->Accept();
 }
--- a/src/proxy/clients.h
+++ b/src/proxy/clients.h
@@ -49,6 +49,9 @@
   virtual void OnUploaded(RequestId request, Steady::time_point due) = 0;
   // Reports that the client of a pending request has disconnected.
   virtual void OnClientGone(RequestId request) = 0;
+  // Reports that the client of a pending request may have disconnected without being noticed: no attempt may
+  // begin any more.
+  virtual void OnClientUnknown(RequestId request) = 0;
   virtual bool Ready() const = 0;  // the answer to GET /ready
   // Returns the configuration that applies to new requests.
   virtual std::shared_ptr<const Config> CurrentConfig() const = 0;
--- a/src/proxy/core/pending.h
+++ b/src/proxy/core/pending.h
@@ -37,6 +37,7 @@
   TimePoint arrived_at{};
   int attempts = 0;  // number of attempts, including those that could not be sent
   bool has_outstanding_attempt = false;
+  bool may_begin_attempt = true;  // false once it is unknown whether the client is still there
   AttemptId last_attempt = 0;
   bool may_have_run = false;       // an attempt that has ended, or another site, may have run the request
   Steady::time_point sent_at{};    // when the last attempt or the last byte of the request was sent
--- a/src/proxy/core/requests.cpp
+++ b/src/proxy/core/requests.cpp
@@ -130,13 +130,18 @@
   if (attempt != 0) backends_.CancelIfUnwritten(attempt);
 }
 
+void Requests::OnClientUnknown(RequestId request) {
+  if (PendingRequest* const pending = pending_.Find(request)) pending->may_begin_attempt = false;
+}
+
 void Requests::Do(const Dispatch& action) {
   PendingRequest* const pending = pending_.Find(action.request);
   const auto now = Steady::now();
   // The module counts each Dispatch as an attempt, also one that cannot be sent.
   const int attempt = pending ? pending->attempts++ : 0;
-  const bool may_send = pending && pending->responder && !pending->has_outstanding_attempt &&
-                        now < pending->due && attempt < pending->rules.max_attempts;
+  const bool may_send = pending && pending->responder && pending->may_begin_attempt &&
+                        !pending->has_outstanding_attempt && now < pending->due &&
+                        attempt < pending->rules.max_attempts;
   if (!may_send) return ReportNotSent(action, attempt);
   if (attempt > 0) Note(EventKind::kRetried, action.request);
   pending->has_outstanding_attempt = true;
--- a/src/proxy/core/requests.h
+++ b/src/proxy/core/requests.h
@@ -41,6 +41,7 @@
   RequestId OnRequest(ClientRequest&& request, const Config& current, std::shared_ptr<Responder>&& responder);
   void OnUploaded(RequestId request, Steady::time_point due);
   void OnClientGone(RequestId request);
+  void OnClientUnknown(RequestId request);
 
   // Carry out actions of the module.
   void Do(const Dispatch& action);
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -144,6 +144,8 @@
 
 void Proxy::OnClientGone(RequestId request) { requests_.OnClientGone(request); }
 
+void Proxy::OnClientUnknown(RequestId request) { requests_.OnClientUnknown(request); }
+
 bool Proxy::Ready() const { return !recovery_.Waits() && door_.Open(); }
 
 bool Proxy::TakeOverflowMark(HttpRequest* message, const boost::asio::ip::address& peer) {
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -61,6 +61,7 @@
   RequestId OnRequest(ClientRequest request, std::shared_ptr<Responder> responder) override;
   void OnUploaded(RequestId request, Steady::time_point due) override;
   void OnClientGone(RequestId request) override;
+  void OnClientUnknown(RequestId request) override;
   bool Ready() const override;
   std::shared_ptr<const Config> CurrentConfig() const override { return config_; }
   bool TakeOverflowMark(HttpRequest* message, const boost::asio::ip::address& peer) override;
