Limit the tables that grow with the number of keys that clients name

The affinity of a key is kept for a time, so the table grew with the rate; the fleet's table had a limit of its own that no memory was counted against.

--- a/src/policy/session_affinity.h
+++ b/src/policy/session_affinity.h
@@ -15,7 +15,8 @@
 
 namespace load_balancer {
 
-/// Records for a few seconds to which servers the requests with a key were sent.
+/// Records for a few seconds to which servers the requests with a key were sent. The number of records is
+/// limited; the oldest are forgotten first.
 class SessionAffinity {
  public:
   /// Records that a request with `key` was sent to the server with index `server` at `sent_at`.
@@ -31,6 +32,7 @@
   };
 
   void ForgetExpired(TimePoint now);
+  void ForgetOldest();
 
   std::unordered_map<std::uint64_t, std::map<std::size_t, TimePoint>> sent_at_;  // by key and server index
   std::deque<Expiry> expiries_;                                                  // in the order of recording
--- a/src/proxy/client/session.cpp
+++ b/src/proxy/client/session.cpp
@@ -20,9 +20,8 @@
 using Tcp = asio::ip::tcp;
 
 constexpr std::chrono::milliseconds kCloseCheckInterval{25};  // between two checks for a close by the client
-// A close by the client cannot be seen behind unread input. A request that has waited for so long behind such
-// input is not sent any more.
-constexpr std::chrono::milliseconds kMaxUnseenClose{75};
+// A request that has waited for so long behind unread input, which may hide a close, is not sent any more.
+constexpr std::chrono::milliseconds kMaxUnseenWait{75};
 constexpr std::chrono::milliseconds kResponseReserve{
     150};  // responses are due this long before the deadline of a stop
 
@@ -48,6 +47,7 @@
   Error ignored;
   stream_.socket().set_option(Tcp::no_delay(true), ignored);
   reader_.OnAccepted(arrived_at);
+  known_open_at_ = Steady::now();
   Read();
 }
 
@@ -204,7 +204,7 @@
 // Reports a request that is pending for long if its client's close may be hidden behind later requests. The
 // body of a streamed request is checked when its last piece is read.
 void Clients::Session::NoteUnseenClose() {
-  if (!IsPending() || body_is_streaming_ || Steady::now() - submitted_at_ < kMaxUnseenClose) return;
+  if (!IsPending() || body_is_streaming_ || Steady::now() - submitted_at_ < kMaxUnseenWait) return;
   if (HasUnreadBytes()) owner_->handler_.OnClientUnknown(request_id_);
 }
 
--- a/src/proxy/client/session.h
+++ b/src/proxy/client/session.h
@@ -156,6 +156,7 @@
   bool is_refusing_ = false;                     // the last response refuses a request that End has cut short
   Steady::time_point ending_since_{};
   Steady::time_point response_written_at_{};
+  Steady::time_point known_open_at_{};  // when the client was last known not to have closed its connection
   bool has_answered_ = false;  // a response has been written on this connection
 };
 
--- a/src/proxy/client/session_response.cpp
+++ b/src/proxy/client/session_response.cpp
@@ -18,6 +18,8 @@
 using Tcp = asio::ip::tcp;
 
 constexpr std::chrono::seconds kWriteTimeout{10};  // for writing a response or a piece of a response
+// A close by the client may be hidden behind unread input for so long until it is looked for.
+constexpr std::chrono::milliseconds kMaxUnseenClose{50};
 // For the reset that answers a response on a connection that its client has closed.
 constexpr std::chrono::milliseconds kResetTime{5}, kResetPoll{1};
 constexpr std::chrono::seconds kCloseTimeout{2};  // for the client to close its side
@@ -141,7 +143,8 @@
   has_answered_ = true;
   response_written_at_ = Steady::now();
   const bool may_hide_close = reader_.unparsed() > 0 && !read_in_progress_ && HasUnreadBytes();
-  may_hide_close ? AwaitReset() : ReadNextRequest();
+  if (!may_hide_close) known_open_at_ = response_written_at_;
+  response_written_at_ - known_open_at_ > kMaxUnseenClose ? AwaitReset() : ReadNextRequest();
 }
 
 // Waits a moment before the next request is taken from the buffer. The close of a client may be hidden behind
@@ -149,7 +152,10 @@
 void Clients::Session::AwaitReset() {
   const auto waited = Steady::now() - response_written_at_;
   if (HasClientClosed()) return Close();
-  if (waited >= kResetTime || HasAcknowledgedAll(stream_.socket().native_handle())) return ReadNextRequest();
+  if (waited >= kResetTime || HasAcknowledgedAll(stream_.socket().native_handle())) {
+    known_open_at_ = response_written_at_;
+    return ReadNextRequest();
+  }
   close_check_timer_.expires_after(kResetPoll);
   close_check_timer_.async_wait([self = shared_from_this()](const Error& cancelled) {
     if (!cancelled && self->state_ == State::kWriting) self->AwaitReset();
--- a/src/proxy/fleet_link/fleet_link.cpp
+++ b/src/proxy/fleet_link/fleet_link.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "fleet_link/fleet_link.h"
 
+#include <algorithm>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -16,6 +18,9 @@
 namespace load_balancer::proxy {
 namespace {
 
+// A stored affinity, with its places in the indices of the store.
+constexpr std::size_t kAffinityBytes = 512;
+
 // Those of the site's fleet.
 std::vector<fleet::LeasedRole> LeasedRolesOf(const Config& config) {
   auto duties = fleet::SiteLeasedRoles();
@@ -26,15 +31,22 @@
 
 }  // namespace
 
-void FleetLink::Begin(boost::asio::io_context& io, const Config& config, const std::string& votes) {
+void FleetLink::Begin(boost::asio::io_context& io, const Config& config, const std::string& votes,
+                      std::size_t affinity_bytes) {
   if (!config.fleet.on) return;
+  fleet::FleetSection section = config.fleet;
+  const int most_affinities = static_cast<int>(affinity_bytes / kAffinityBytes);
+  if (section.affinity_entries > most_affinities) {
+    section.affinity_entries = most_affinities;
+    log::Info("fleet", "affinity_entries limited by memory_mb to " + std::to_string(most_affinities));
+  }
   const std::uint64_t seed = config.seed ^ StableHash(config.name);
   discovery_.Know(config.known.members);
   maintenance_.LoadChanges();
   fleet::NodeOptions options;
   options.duties = LeasedRolesOf(config);
   options.votes = votes;
-  node_ = std::make_unique<fleet::Node>(io, config.fleet, config.name, seed,
+  node_ = std::make_unique<fleet::Node>(io, section, config.name, seed,
                                         static_cast<fleet::FleetListener&>(*this), std::move(options));
 }
 
--- a/src/proxy/fleet_link/fleet_link.h
+++ b/src/proxy/fleet_link/fleet_link.h
@@ -35,7 +35,9 @@
   FleetLink& operator=(const FleetLink&) = delete;
 
   // Joins, with a section `fleet`. `votes` is the file for this voter's votes; empty: none.
-  void Begin(boost::asio::io_context& io, const Config& config, const std::string& votes);
+  // Stores no more affinities than fit into `affinity_bytes`, whatever the configuration allows.
+  void Begin(boost::asio::io_context& io, const Config& config, const std::string& votes,
+             std::size_t affinity_bytes);
   void End() { node_.reset(); }
 
   // Null where the configuration has no section `fleet`, before Begin and after End.
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -14,6 +14,7 @@
 constexpr std::size_t kLeastPiece = 4 * 1024, kMostPiece = 16 * 1024;  // bytes
 constexpr std::size_t kMaxProcesses = 2;                               // of one proxy, during an upgrade
 constexpr std::size_t kProcessBytes = 8 * 1024 * 1024;                 // a process without its heap
+constexpr std::size_t kAffinityPart = 8;  // of the heap's limit, for affinities of the fleet
 constexpr std::size_t kMinHeapBytes = 4 * 1024 * 1024;
 // The heap's share of the rest. What is left is lost between the blocks of the allocator.
 constexpr double kHeapShare = 0.85;
@@ -75,7 +76,7 @@
   if (!config_->settings.must_poll_for_list) discovery_.Watch();
   door_.Begin();
   if (config_->operators) operators_ = std::make_unique<Operators>(io, *config_->operators, admin_handler_);
-  fleet_.Begin(io, *config_, InState(*config_, ".votes"));
+  fleet_.Begin(io, *config_, InState(*config_, ".votes"), memory_.limits().total / kAffinityPart);
   federation_.Begin(
       io, *config_, InState(*config_, ".sites-votes"), fleet_.node(),
       [this] { return limits_.MostBackends(); }, memory_);
--- a/tests/memory/memory_test.cpp
+++ b/tests/memory/memory_test.cpp
@@ -31,6 +31,7 @@
 constexpr int kSmallReceiveBuffer = 4096;  // bytes
 constexpr std::size_t kLargeBufferedBody = 60'000;
 constexpr std::size_t kStreamedBody = 300'000;
+constexpr milliseconds kFullSpeed{8000};
 constexpr milliseconds kSettle{1500};  // until the proxy has read what the clients have sent
 
 // Returns a figure of /proc/PID/status in MB, or 0 once the process has ended.
@@ -64,13 +65,19 @@
   // Starts a process in front of a server that answers in this way.
   void Start(Backend::Answer answer) {
     backend = std::make_unique<Backend>(std::move(answer));
-    config = ConfigJson(discovery.address(), Members(MemberJson("s-1", backend->address())));
+    config = ConfigWith(config);
     config["limits"] = {{"cores", 1.0}, {"memory_mb", kMemoryMb}, {"sockets", kSockets}};
     config["listen"] = "127.0.0.1:" + std::to_string(port.tcp().port());
     std::ofstream(folder.path / "config.json") << config.dump();
     first = StartProcess();
     ASSERT_TRUE(WaitUntilServed());
   }
+  // Returns the configuration of the test, with its own keys in `changes`.
+  nlohmann::json ConfigWith(const nlohmann::json& changes) {
+    auto all = ConfigJson(discovery.address(), Members(MemberJson("s-1", backend->address())));
+    if (changes.is_object()) all.update(changes);
+    return all;
+  }
   std::unique_ptr<Process> StartProcess(const LeasedPort& operators_port = LeasedPort()) {
     return std::make_unique<Process>(
         kProxyPath, std::vector<std::string>{},
@@ -106,7 +113,7 @@
   }
 
   FakeDiscovery discovery;
-  const LeasedPort port;
+  const LeasedPort port, fleet_port;
   const Folder folder;
   nlohmann::json config;
   std::unique_ptr<Backend> backend;
@@ -196,6 +203,33 @@
   ExpectMemoryKept();
 }
 
+// Guards against tables by key that grow with the speed of a client that names a new key in each request.
+TEST_F(Memory, IsLimitedForEverNewKeysAtFullSpeed) {
+  config["settings"] = SettingsJson();
+  config["settings"]["specifics"] = {{"warmKeys", true}};
+  config["fleet"] = {{"bind", "127.0.0.1:" + std::to_string(fleet_port.tcp().port())},
+                     {"affinity_entries", 65536},
+                     {"affinity_ttl_ms", 60000}};
+  Start(AnswerWith(OkAnswer("served")));
+  Client client(port.tcp());
+  std::atomic<bool> is_over{false};
+  std::thread reader([&] {
+    std::string bytes(65536, '\0');
+    error_code failed;
+    while (!is_over && !failed) client.socket.read_some(asio::buffer(bytes), failed);
+  });
+  const auto until = std::chrono::steady_clock::now() + kFullSpeed;
+  for (int i = 0; std::chrono::steady_clock::now() < until;) {
+    std::string requests;
+    for (int end = i + 100; i < end; ++i) requests += Look("Cookie: obj=k" + std::to_string(i) + "\r\n");
+    client.Send(requests);
+  }
+  is_over = true;
+  ::shutdown(client.socket.native_handle(), SHUT_RDWR);
+  reader.join();
+  ExpectMemoryKept();
+}
+
 // Guards against two processes that take the memory of one each.
 TEST_F(Memory, IsLimitedForBothProcessesOfAnUpgradeTogether) {
   Start([](Tcp::socket& socket, const HttpRequest& request) {
