Keep an id whose client left before it had read the response

The id was forgotten with the response, though the client had closed before it came, or without reading it.

A client that has closed by the time of its response has left; a connection that is reset, or ends with unacknowledged bytes, has left its response unread, also if a newcomer with the same id is handled first. An id is taken from its arrival on, not from its dispatch, so that two of one id cannot both wait.

Test: RepeatedId.DoesNotRunAgainIfItsClientLeftWithoutReadingTheResponse.

--- a/src/proxy/client/session.cpp
+++ b/src/proxy/client/session.cpp
@@ -35,6 +35,13 @@
   }
 }
 
+// Returns the key of the request's id if the request may have to run no more than once, otherwise 0.
+RequestIds::Key IdKeyOf(const HttpRequest& message) {
+  if (message.method() == http::verb::get) return 0;
+  const auto id = message["Req-Id"];
+  return RequestIds::KeyOf({id.data(), id.size()});
+}
+
 }  // namespace
 
 Clients::Session::Session(Clients& owner, Tcp::socket socket)
@@ -175,6 +182,9 @@
   if (read_has_waited_) reader_.NoteAllRead();
   if (state_ == State::kClosed) return;
   const bool cancelled = failed == asio::error::operation_aborted;
+  const bool is_reset = failed == asio::error::connection_reset;
+  if (is_reset || (failed && !cancelled && !HasAcknowledgedAll(stream_.socket().native_handle())))
+    NoteUnreadResponse();
   if (state_ == State::kEnding) return failed && !cancelled ? Close() : DiscardInput();
   if (failed == boost::beast::error::timeout && !IsIdle()) owner_->events_.Note(EventKind::kClientTimeout);
   if (failed && !cancelled) return OnClientClosed();
@@ -208,9 +218,16 @@
   if (HasUnreadBytes()) owner_->handler_.OnClientUnknown(request_id_);
 }
 
+// Reports the last response as unread: its client had closed the connection before it came, or without
+// reading it. The system of such a client answers with a reset.
+void Clients::Session::NoteUnreadResponse() {
+  if (owner_ && id_key_ != 0 && !IsPending()) owner_->handler_.OnResponseUnread(id_key_);
+}
+
 // Called when the client has closed its connection. The write of a complete response continues. A pending
 // request or a streamed response is aborted, because the client would not read the response.
 void Clients::Session::OnClientClosed() {
+  if (!client_closed_ && state_ == State::kWriting) NoteUnreadResponse();
   client_closed_ = true;
   if (state_ != State::kWriting || response_source_) AbortRequest();
 }
@@ -314,6 +331,7 @@
 void Clients::Session::Submit() {
   stream_.expires_never();
   client_timeout_ = incoming_.client_timeout;
+  owner_->SetLastRequest(this, IdKeyOf(incoming_.message));
   incoming_.due = ResponseDeadline();
   reader_.PauseBodyTimer();
   // Where the request has waited in the socket, its client may have left since.
--- a/src/proxy/client/session.h
+++ b/src/proxy/client/session.h
@@ -44,6 +44,14 @@
   // Returns whether the connection is between two requests and no byte of the next one has been received.
   bool IsIdle();
   bool IsIdleSince(Steady::time_point since) { return idle_since_ <= since && IsIdle(); }
+  // The key of the last request that was handed on, if it may have to run no more than once; otherwise 0.
+  RequestIds::Key id_key() const { return id_key_; }
+  void SetIdKey(RequestIds::Key key) { id_key_ = key; }
+  // Reports the last response as unread if the client has closed the connection, which may not have been
+  // handled.
+  void CheckUnreadResponse() {
+    if (HasClientClosed()) NoteUnreadResponse();
+  }
   // Returns whether a response has been written on this connection.
   bool HasAnswered() const { return has_answered_; }
   bool IsReading() const { return state_ == State::kReading; }
@@ -64,6 +72,7 @@
   void Rejected(Duration retry_after) override;
   void Failed() override;
   void OverBudget(Duration retry_after) override;
+  bool HasClientLeft() override { return client_closed_ || HasClientClosed(); }
 
   // ---- BodySource: the body of the request ----------------------------------------------
   void Next(OnPiece on_piece) override;
@@ -91,6 +100,7 @@
   void CancelRead();
   void ScheduleCloseCheck();
   bool HasClientClosed();
+  void NoteUnreadResponse();
   void NoteUnseenClose();
   void OnClientClosed();
   void ReadHead();
@@ -133,6 +143,7 @@
   Duration client_timeout_{0};       // how long the client waits for the response
   Steady::time_point idle_since_{};  // start of the idle time, if the connection is idle
   RequestId request_id_ = 0;
+  RequestIds::Key id_key_ = 0;
   Steady::time_point submitted_at_{};
   OnPiece on_piece_;
   bool read_in_progress_ = false;  // OnRead will be called
@@ -157,7 +168,7 @@
   Steady::time_point ending_since_{};
   Steady::time_point response_written_at_{};
   Steady::time_point known_open_at_{};  // when the client was last known not to have closed its connection
-  bool has_answered_ = false;  // a response has been written on this connection
+  bool has_answered_ = false;           // a response has been written on this connection
 };
 
 }  // namespace load_balancer::proxy
--- a/src/proxy/client/session_response.cpp
+++ b/src/proxy/client/session_response.cpp
@@ -94,7 +94,10 @@
   writer_.Write(stream_, std::move(piece), last, [self = shared_from_this(), last](const Error& failed) {
     if (self->state_ != State::kWriting) return;
     self->write_timer_.cancel();
-    if (failed) return self->Close();
+    if (failed) {
+      self->NoteUnreadResponse();
+      return self->Close();
+    }
     last ? self->OnResponseWritten() : self->PullResponse();
   });
 }
@@ -151,7 +154,10 @@
 // unread input, but the system of a client that has closed answers the response with a reset.
 void Clients::Session::AwaitReset() {
   const auto waited = Steady::now() - response_written_at_;
-  if (HasClientClosed()) return Close();
+  if (HasClientClosed()) {
+    NoteUnreadResponse();
+    return Close();
+  }
   if (waited >= kResetTime || HasAcknowledgedAll(stream_.socket().native_handle())) {
     known_open_at_ = response_written_at_;
     return ReadNextRequest();
--- a/src/proxy/clients.h
+++ b/src/proxy/clients.h
@@ -12,11 +12,13 @@
 #include <list>
 #include <memory>
 #include <optional>
+#include <unordered_map>
 
 #include "backends.h"
 #include "body.h"
 #include "clock.h"
 #include "config.h"
+#include "core/request_ids.h"
 #include "event_counts.h"
 #include "memory_budget.h"
 #include "request.h"
@@ -37,6 +39,8 @@
   virtual void Failed() = 0;
   // Writes a 429, as the tenant is over its budget.
   virtual void OverBudget(Duration retry_after) = 0;
+  // Returns whether the client has closed its connection, as far as can be seen now.
+  virtual bool HasClientLeft() = 0;
 };
 
 // RequestHandler processes the requests of clients. Its functions must not throw.
@@ -52,6 +56,8 @@
   // Reports that the client of a pending request may have disconnected without being noticed: no attempt may
   // begin any more.
   virtual void OnClientUnknown(RequestId request) = 0;
+  // Reports that a connection broke before its client had read the response to the request with this id.
+  virtual void OnResponseUnread(RequestIds::Key request) = 0;
   virtual bool Ready() const = 0;  // the answer to GET /ready
   // Returns the configuration that applies to new requests.
   virtual std::shared_ptr<const Config> CurrentConfig() const = 0;
@@ -116,6 +122,10 @@
   // Moves the session to the end of the list, as bytes have been received from its client.
   void MarkActive(Session* session);
   void Remove(Session* session);
+  // Sets the last request of a session. If it came before on another connection, the close of which has not
+  // been handled yet, the response there is reported as unread.
+  void SetLastRequest(Session* session, RequestIds::Key key);
+  void ForgetLastRequest(Session* session);
   void ScheduleIdleSweep();
   void ContinueStop();
 
@@ -128,6 +138,7 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer accept_retry_timer_, idle_sweep_timer_, stop_timer_;
   std::list<std::shared_ptr<Session>> sessions_;  // ordered by the last bytes received, oldest first
+  std::unordered_map<RequestIds::Key, Session*> last_requests_;
   bool accepting_ = false, waiting_for_capacity_ = false, draining_ = false, stopping_ = false,
        acceptor_closed_ = false;
   // Since when connections may have been waiting in the accept queue; not set if it was empty when last seen.
--- a/src/proxy/core/pending.h
+++ b/src/proxy/core/pending.h
@@ -62,7 +62,9 @@
   // such request or if its responder has been taken.
   std::shared_ptr<Responder> TakeResponder(RequestId id) {
     PendingRequest* const request = Find(id);
-    return request ? std::exchange(request->responder, nullptr) : nullptr;
+    if (!request || !request->responder) return nullptr;
+    request->has_client_left |= request->id_key != 0 && request->responder->HasClientLeft();
+    return std::exchange(request->responder, nullptr);
   }
   // Erases the request if its responder has been taken and it has no outstanding attempt.
   void EraseIfComplete(RequestId id) {
@@ -70,7 +72,8 @@
     if (found == requests_.end()) return;
     const PendingRequest& request = found->second;
     if (request.responder || request.has_outstanding_attempt) return;
-    if (request.id_key != 0 && !request.has_client_left) ids_.Remove(request.id_key);
+    const bool may_come_again = request.has_client_left && request.may_have_run;
+    if (request.id_key != 0 && !may_come_again) ids_.Remove(request.id_key);
     requests_.erase(found);
   }
 
--- a/src/proxy/core/request_ids.h
+++ b/src/proxy/core/request_ids.h
@@ -14,8 +14,9 @@
 namespace load_balancer::proxy {
 
 // RequestIds is a table of limited size in a file that the processes of a hot restart map. An id is added
-// when its request is forwarded, and removed when its client has the response. If the client leaves before,
-// the id stays until it expires. If the table is full, the id that expires first gives way.
+// when its request has arrived, and removed when it has not run or its client has the response. If the client
+// leaves before, or without reading the response, the id stays until it expires. If the table is full, the id
+// that expires first gives way.
 class RequestIds {
  public:
   using Key = std::uint64_t;  // of a Req-Id; never 0
--- a/src/proxy/core/requests.cpp
+++ b/src/proxy/core/requests.cpp
@@ -96,6 +96,7 @@
   pending.responder = std::move(responder);
   pending.received = received;
   pending.arrived_at = clock.Now();
+  if (pending.id_key != 0) ids_.Add(pending.id_key, pending.due);
   pending_.Add(id, std::move(pending));
   module_.Feed(received);
   return id;
@@ -120,7 +121,7 @@
 void Requests::OnClientGone(RequestId request) {
   if (!pending_.TakeResponder(request)) return;
   PendingRequest& pending = *pending_.Find(request);
-  pending.has_client_left = pending.may_have_run || pending.has_outstanding_attempt;
+  pending.has_client_left = true;
   federation_.CreditIfNotRun(pending);
   const AttemptId attempt = pending.has_outstanding_attempt ? pending.last_attempt : 0;
   pending_.EraseIfComplete(request);
@@ -130,6 +131,8 @@
   if (attempt != 0) backends_.CancelIfUnwritten(attempt);
 }
 
+void Requests::OnResponseUnread(RequestIds::Key request) { ids_.Add(request, Steady::now()); }
+
 void Requests::OnClientUnknown(RequestId request) {
   if (PendingRequest* const pending = pending_.Find(request)) pending->may_begin_attempt = false;
 }
@@ -156,7 +159,6 @@
   out.write_timeout = action.write_timeout;
   if (pending->key != 0 && fleet_.node())
     fleet_.node()->Announce(fleet::KeyAffinity{pending->key, servers_.numbers().IdOf(action.server)});
-  if (pending->id_key != 0) ids_.Add(pending->id_key, pending->due);
   pending->last_attempt = backends_.Send(action.server, std::move(out), timeout, EventsFor(action, attempt));
 }
 
@@ -185,9 +187,7 @@
 void Requests::Do(const Reject& action) {
   Note(EventKind::kRejected, action.request);
   if (!federation_.Spill(action.request, action.retry_after))
-    return federation_.AnswerRefused(action.request, action.retry_after);
-  const PendingRequest* const pending = pending_.Find(action.request);
-  if (pending && pending->id_key != 0) ids_.Add(pending->id_key, pending->due);
+    federation_.AnswerRefused(action.request, action.retry_after);
 }
 
 void Requests::Do(const FailRequest& action) {
@@ -221,9 +221,7 @@
   if (pending) {
     pending->has_outstanding_attempt = false;
     pending->may_have_run |= !NeverRan(result.outcome);
-    // The client has left within its response, or before an attempt that may have run was over.
-    if (result.outcome == Outcome::kCancelled) pending->has_client_left = true;
-    if (NeverRan(result.outcome) && !pending->may_have_run) pending->has_client_left = false;
+    if (result.outcome == Outcome::kCancelled) pending->has_client_left = true;  // within its response
     const bool was_streamed = pending->time_to_first_byte.count() > 0;
     end.took = was_streamed ? pending->time_to_first_byte : Duration(Steady::now() - pending->sent_at);
     end.is_replayable = !pending->body || !pending->body->HasStarted();
--- a/src/proxy/core/requests.h
+++ b/src/proxy/core/requests.h
@@ -42,6 +42,7 @@
   void OnUploaded(RequestId request, Steady::time_point due);
   void OnClientGone(RequestId request);
   void OnClientUnknown(RequestId request);
+  void OnResponseUnread(RequestIds::Key request);
 
   // Carry out actions of the module.
   void Do(const Dispatch& action);
--- a/src/proxy/heap_usage.cpp
+++ b/src/proxy/heap_usage.cpp
@@ -10,7 +10,7 @@
 #include <new>
 
 #ifdef __SANITIZE_ADDRESS__
-#include <sanitizer/allocator_interface.h>
+extern "C" std::size_t __sanitizer_get_current_allocated_bytes();  // of the sanitizer's run-time library
 #endif
 
 namespace load_balancer::proxy {
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -147,6 +147,8 @@
 
 void Proxy::OnClientUnknown(RequestId request) { requests_.OnClientUnknown(request); }
 
+void Proxy::OnResponseUnread(RequestIds::Key request) { requests_.OnResponseUnread(request); }
+
 bool Proxy::Ready() const { return !recovery_.Waits() && door_.Open(); }
 
 bool Proxy::TakeOverflowMark(HttpRequest* message, const boost::asio::ip::address& peer) {
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -62,6 +62,7 @@
   void OnUploaded(RequestId request, Steady::time_point due) override;
   void OnClientGone(RequestId request) override;
   void OnClientUnknown(RequestId request) override;
+  void OnResponseUnread(RequestIds::Key request) override;
   bool Ready() const override;
   std::shared_ptr<const Config> CurrentConfig() const override { return config_; }
   bool TakeOverflowMark(HttpRequest* message, const boost::asio::ip::address& peer) override;
--- a/tests/client/repeated_id_test.cpp
+++ b/tests/client/repeated_id_test.cpp
@@ -58,6 +58,18 @@
   EXPECT_EQ(Runs(), 1u);
 }
 
+TEST_F(RepeatedId, DoesNotRunAgainIfItsClientLeftWithoutReadingTheResponse) {
+  RunningProxy proxy(Config());
+  {
+    Client client(proxy.address);
+    client.Send(Book());
+    std::this_thread::sleep_for(kServerTime * 3 / 2);
+    ASSERT_GT(client.socket.available(), 0u);
+  }
+  EXPECT_EQ(Client(proxy.address).Ask(Book()).result_int(), 502u);
+  EXPECT_EQ(Runs(), 1u);
+}
+
 TEST_F(RepeatedId, DoesNotRunAgainBesideItsFirstClient) {
   RunningProxy proxy(Config());
   Client first(proxy.address);
--- a/tests/memory/memory_test.cpp
+++ b/tests/memory/memory_test.cpp
@@ -16,6 +16,7 @@
 #include "fleet/harness.h"
 #include "leased_port.h"
 #include "loopback.h"
+#include "memory/process_memory.h"
 #include "program_paths.h"
 
 namespace load_balancer::testing {
@@ -34,16 +35,6 @@
 constexpr milliseconds kFullSpeed{8000};
 constexpr milliseconds kSettle{1500};  // until the proxy has read what the clients have sent
 
-// Returns a figure of /proc/PID/status in MB, or 0 once the process has ended.
-double StatusMb(pid_t pid, const std::string& name) {
-  std::ifstream status("/proc/" + std::to_string(pid) + "/status");
-  for (std::string word; status >> word;) {
-    double kilobytes = 0;
-    if (word == name + ":" && status >> kilobytes) return kilobytes / 1024;
-  }
-  return 0;
-}
-
 std::string Fields(int count, const std::string& more = "") {
   std::string fields;
   for (int i = 0; i < count; ++i) fields += "a:\r\n";
