--- a/src/proxy/backend/connection.cpp
+++ b/src/proxy/backend/connection.cpp
@@ -269,11 +269,12 @@
 void Backends::Connection::Read() {
   awaiting_head_ = true;
   reader_.Begin();
-  reader_.ReadHead(socket_, [self = shared_from_this(), use = use_number_](const Error& failed) {
-    if (use != self->use_number_ || !self->HasAttempt()) return;
-    if (failed) return self->FinishWithoutResponse(Outcome::kReset);
-    self->OnHead();
-  });
+  reader_.ReadHead(socket_, owner_->memory_,
+                   [self = shared_from_this(), use = use_number_](const Error& failed) {
+                     if (use != self->use_number_ || !self->HasAttempt()) return;
+                     if (failed) return self->FinishWithoutResponse(Outcome::kReset);
+                     self->OnHead();
+                   });
 }
 
 void Backends::Connection::OnHead() {
--- a/src/proxy/backend/response_reader.h
+++ b/src/proxy/backend/response_reader.h
@@ -5,6 +5,7 @@
 #ifndef LOAD_BALANCER_PROXY_BACKEND_RESPONSE_READER_H_
 #define LOAD_BALANCER_PROXY_BACKEND_RESPONSE_READER_H_
 
+#include <boost/asio/error.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -35,16 +36,16 @@
 
   // Starts to read a response. After an interim (1xx) response it starts to read the next one.
   void Begin();
-  // Reads the head and calls `done(error_code)`, never within this call, when it is complete. `done` keeps
-  // this reader alive.
+  // Reads the head and calls `done(error_code)`, never within this call, when it is complete. Fails if a
+  // large head finds no room in `memory`. `done` keeps this reader alive.
   template <typename Done>
-  void ReadHead(boost::asio::ip::tcp::socket& socket, Done done) {
+  void ReadHead(boost::asio::ip::tcp::socket& socket, const MemoryBudget& memory, Done done) {
     boost::system::error_code failed;
     if (ParseBufferedHead(buffer_, *parser_, &failed) || failed) {
       boost::asio::post(socket.get_executor(), [done = std::move(done), failed]() mutable { done(failed); });
       return;
     }
-    ReadMoreOfHead(socket, std::move(done));
+    ReadMoreOfHead(socket, memory, std::move(done));
   }
   const Head& head() const { return parser_->get(); }
   // Returns whether the response is an interim one (1xx), which the final response follows.
@@ -110,18 +111,24 @@
 
  private:
   template <typename Done>
-  void ReadMoreOfHead(boost::asio::ip::tcp::socket& socket, Done done) {
+  void ReadMoreOfHead(boost::asio::ip::tcp::socket& socket, const MemoryBudget& memory, Done done) {
     socket.async_read_some(
         buffer_.prepare(NextReadBytes(buffer_)),
-        [this, &socket, done = std::move(done)](boost::system::error_code failed, std::size_t n) mutable {
+        [this, &socket, &memory, done = std::move(done)](boost::system::error_code failed,
+                                                         std::size_t n) mutable {
           buffer_.commit(n);
           const bool is_complete = !failed && ParseBufferedHead(buffer_, *parser_, &failed);
           if (!failed && !is_complete && buffer_.size() == buffer_.max_size())
             failed = boost::beast::http::error::header_limit;
-          failed || is_complete ? done(failed) : ReadMoreOfHead(socket, std::move(done));
+          const bool is_large = buffer_.size() + NextReadBytes(buffer_) > kSmallHeadBytes;
+          if (!failed && !is_complete && is_large && !memory.HasRoom(buffer_.size()))
+            failed = boost::asio::error::no_memory;
+          failed || is_complete ? done(failed) : ReadMoreOfHead(socket, memory, std::move(done));
         });
   }
 
+  static constexpr std::size_t kSmallHeadBytes = 4 * 1024;  // a head up to this size needs no further room
+
   boost::beast::flat_buffer buffer_;
   std::optional<boost::beast::http::response_parser<boost::beast::http::buffer_body>> parser_;
   std::string piece_;     // the last piece, or the one being read
--- a/src/proxy/memory_budget.h
+++ b/src/proxy/memory_budget.h
@@ -23,8 +23,9 @@
   };
   using Gauge = std::function<std::size_t()>;  // returns bytes
 
-  // An attempt that has been admitted: its copy of the request's head and the largest response head, parsed.
-  static constexpr std::size_t kAttemptBytes = 64 * 1024;
+  // An attempt that has been admitted, apart from pieces of its response: a small response head, parsed. A
+  // larger one needs room when it comes.
+  static constexpr std::size_t kAttemptBytes = 12 * 1024;
   // A response that is being streamed, apart from its pieces.
   static constexpr std::size_t kStreamBytes = 8 * 1024;
   // A request with a small head and no body.
@@ -109,18 +110,19 @@
     std::size_t size_ = 0;
   };
 
-  // Sets kAttemptBytes aside for an attempt. The result is empty if there is no room.
+  // Sets memory aside for an attempt. The result is empty if there is no room.
   Reservation ReserveAttempt() {
-    if (!IsBelowMinimum() && !HasRoom(kAttemptBytes)) return {};
+    if (!IsBelowMinimum() && !HasRoom(AttemptBytes())) return {};
     Reservation reservation(*this, &MemoryBudget::set_aside_);
-    reservation.Add(kAttemptBytes);
+    reservation.Add(AttemptBytes());
     return reservation;
   }
   // Returns what a response needs while it is being streamed.
   std::size_t StreamBytes() const { return kStreamBytes + 2 * limits_.piece; }
 
  private:
-  bool IsBelowMinimum() const { return set_aside_ < kMinAttempts * kAttemptBytes; }
+  bool IsBelowMinimum() const { return set_aside_ < kMinAttempts * AttemptBytes(); }
+  std::size_t AttemptBytes() const { return kAttemptBytes + 2 * limits_.piece; }
 
   const Limits limits_;
   const Gauge heap_in_use_, used_by_others_;
--- a/tests/memory/memory_test.cpp
+++ b/tests/memory/memory_test.cpp
@@ -194,6 +194,21 @@
   ExpectMemoryKept();
 }
 
+// Guards against a limit that refuses small requests, which need little of the memory.
+TEST_F(Memory, SufficesForHundredsOfSmallRequestsAtOnce) {
+  Start([](Tcp::socket& socket, const HttpRequest&) {
+    std::this_thread::sleep_for(milliseconds(300));
+    SendRaw(socket, OkAnswer("served"));
+    return true;
+  });
+  constexpr int kAtOnce = 300;
+  ConnectClients(Look(), kAtOnce);
+  int served = 0;
+  for (const auto& client : clients) served += client->Read().result_int() == 200;
+  EXPECT_EQ(served, kAtOnce);
+  ExpectMemoryKept();
+}
+
 // Guards against tables by key that grow with the speed of a client that names a new key in each request.
 TEST_F(Memory, IsLimitedForEverNewKeysAtFullSpeed) {
   config["settings"] = SettingsJson();
