--- a/tests/operators_test.cpp
+++ b/tests/operators_test.cpp
@@ -51,6 +51,16 @@
   EXPECT_EQ(why("PING\x7f"), "not text");
 }
 
+TEST(Operators, UsageTellsMemoryConnectionsAndWhyRequestsWereRefused) {
+  Site site;
+  Client client(site.proxy->address);
+  EXPECT_EQ(client.Ask("garbage\r\n\r\n").result_int(), 400u);
+  const std::string usage = site.Call("USAGE\n");
+  EXPECT_TRUE(IsYes(usage)) << usage;
+  for (const char* part : {"ACK memory=", " most_memory=", " clients=1 ", " requests=0", "; malformed=1"})
+    EXPECT_NE(usage.find(part), std::string::npos) << part << " in " << usage;
+}
+
 TEST(Operators, OneLineToAConnectionIsAnsweredWithOneLine) {
   Site site;
   EXPECT_EQ(site.Call("PING\n"), "ACK taking clients\n");
