Give the look for a hidden close a timer of its own, and do not take a read response for unread

AwaitReset shared its timer with the check for a close; where that check had expired already, it ran, armed the timer anew and so cancelled the wait, which nothing resumed. It has its own timer now.

LargeBody.AnUploadThatNoServerHasSeenIsSentToAnother failed beside load with 502: a client that had read the whole response closed before the handler of its last write ran, which counted as unread. Only a rest that has not been sent, or bytes that are not acknowledged, count now.

--- a/src/proxy/client/session.cpp
+++ b/src/proxy/client/session.cpp
@@ -48,6 +48,7 @@
     : owner_(&owner),
       stream_(std::move(socket)),
       close_check_timer_(stream_.get_executor()),
+      reset_timer_(stream_.get_executor()),
       write_timer_(stream_.get_executor()) {}
 
 void Clients::Session::Start(Steady::time_point arrived_at) {
@@ -72,6 +73,7 @@
   state_ = State::kClosed;
   stream_.close();
   close_check_timer_.cancel();
+  reset_timer_.cancel();
   write_timer_.cancel();
   if (const auto source = std::exchange(response_source_, nullptr)) source->Abandon();
   if (const auto on_piece = std::exchange(on_piece_, nullptr)) on_piece(Piece::Broken());
@@ -227,7 +229,7 @@
 // Called when the client has closed its connection. The write of a complete response continues. A pending
 // request or a streamed response is aborted, because the client would not read the response.
 void Clients::Session::OnClientClosed() {
-  if (!client_closed_ && state_ == State::kWriting) NoteUnreadResponse();
+  if (!client_closed_ && response_source_) NoteUnreadResponse();
   client_closed_ = true;
   if (state_ != State::kWriting || response_source_) AbortRequest();
 }
--- a/src/proxy/client/session.h
+++ b/src/proxy/client/session.h
@@ -132,6 +132,7 @@
   boost::beast::tcp_stream stream_;
   boost::asio::steady_timer
       close_check_timer_;  // checks for a close by the client while the reader's buffer is full
+  boost::asio::steady_timer reset_timer_;  // for AwaitReset alone, which nothing else may cancel
   boost::asio::steady_timer write_timer_;  // while a part of the response is being written
   State state_ = State::kReading;
 
--- a/src/proxy/client/session_response.cpp
+++ b/src/proxy/client/session_response.cpp
@@ -162,8 +162,8 @@
     known_open_at_ = response_written_at_;
     return ReadNextRequest();
   }
-  close_check_timer_.expires_after(kResetPoll);
-  close_check_timer_.async_wait([self = shared_from_this()](const Error& cancelled) {
+  reset_timer_.expires_after(kResetPoll);
+  reset_timer_.async_wait([self = shared_from_this()](const Error& cancelled) {
     if (!cancelled && self->state_ == State::kWriting) self->AwaitReset();
   });
 }
--- a/tests/body_test.cpp
+++ b/tests/body_test.cpp
@@ -334,7 +334,9 @@
   std::vector<std::unique_ptr<Client>> clients;
   for (int i = 0; i < 12; ++i) {
     clients.push_back(std::make_unique<Client>(site.proxy->address));
-    clients.back()->Send(PostHead(Length(body.size())) + body.substr(0, 50000));
+    std::string head = PostHead(Length(body.size()));
+    head.replace(head.find("Req-Id: 0b"), 10, std::string("Req-Id: b").append(std::to_string(i)));
+    clients.back()->Send(head + body.substr(0, 50000));
   }
   for (const auto& client : clients) client->Send(body.substr(50000));
   for (const auto& client : clients) {
