Release an attempt's memory when the owner of its connection ends

The sanitizer build ended in RepeatedId.* with a use after free: a connection that a handler still held released its headroom after the budget was gone. DetachFromOwner releases it, as it does the reader's reservation.

--- a/src/proxy/backend/connection.cpp
+++ b/src/proxy/backend/connection.cpp
@@ -137,6 +137,7 @@
   owner_ = nullptr;
   events_ = {};
   on_piece_ = nullptr;
+  headroom_.Release();
   reader_.TakeReservation();
   Close();
 }
