Look at a response's fields only while its attempt lasts

Callers saw all connections reset.

Cause: when the rest of a response had come with its head, the read of a piece completed in a later turn of the event loop. If the attempt timed out in between, the complete response made the connection reusable, and the response was freed. The handler of the read then counted the fields of the freed head, before it looked whether its attempt was still the same. The kernel's record names the loop over the fields.

Change: the fields are counted after that look. The room for a large head is asked for through the connection, so that its handler cannot outlive the budget either. The soak prints how a process ended, and its last lines.

--- a/src/proxy/backend/connection.cpp
+++ b/src/proxy/backend/connection.cpp
@@ -270,12 +270,15 @@
 void Backends::Connection::Read() {
   awaiting_head_ = true;
   reader_.Begin();
-  reader_.ReadHead(socket_, owner_->memory_,
-                   [self = shared_from_this(), use = use_number_](const Error& failed) {
-                     if (use != self->use_number_ || !self->HasAttempt()) return;
-                     if (failed) return self->FinishWithoutResponse(Outcome::kReset);
-                     self->OnHead();
-                   });
+  const auto self = shared_from_this();
+  const auto has_room = [self](std::size_t bytes) {
+    return self->owner_ && self->owner_->memory_.HasRoom(bytes);
+  };
+  reader_.ReadHead(socket_, has_room, [self, use = use_number_](const Error& failed) {
+    if (use != self->use_number_ || !self->HasAttempt()) return;
+    if (failed) return self->FinishWithoutResponse(Outcome::kReset);
+    self->OnHead();
+  });
 }
 
 void Backends::Connection::OnHead() {
@@ -299,7 +302,10 @@
                     [self = shared_from_this(), use = use_number_](const Error& failed) {
                       if (use != self->use_number_ || !self->HasAttempt()) return;
                       self->read_in_progress_ = false;
-                      self->OnPieceRead(failed, self->reader_.LastPieceBytes());
+                      const bool is_too_large = !failed && self->reader_.HasTooManyFields();
+                      self->OnPieceRead(
+                          is_too_large ? Error(boost::beast::http::error::header_limit) : failed,
+                          self->reader_.LastPieceBytes());
                     });
 }
 
--- a/src/proxy/backend/response_reader.h
+++ b/src/proxy/backend/response_reader.h
@@ -36,16 +36,16 @@
 
   // Starts to read a response. After an interim (1xx) response it starts to read the next one.
   void Begin();
-  // Reads the head and calls `done(error_code)`, never within this call, when it is complete. Fails if a
-  // large head finds no room in `memory`. `done` keeps this reader alive.
-  template <typename Done>
-  void ReadHead(boost::asio::ip::tcp::socket& socket, const MemoryBudget& memory, Done done) {
+  // Reads the head and calls `done(error_code)`, never within this call, when it is complete. Fails if
+  // `has_room(bytes)` denies room to a large head. `done` keeps this reader alive.
+  template <typename HasRoom, typename Done>
+  void ReadHead(boost::asio::ip::tcp::socket& socket, HasRoom has_room, Done done) {
     boost::system::error_code failed;
     if (ParseBufferedHead(buffer_, *parser_, &failed) || failed) {
       boost::asio::post(socket.get_executor(), [done = std::move(done), failed]() mutable { done(failed); });
       return;
     }
-    ReadMoreOfHead(socket, memory, std::move(done));
+    ReadMoreOfHead(socket, std::move(has_room), std::move(done));
   }
   const Head& head() const { return parser_->get(); }
   // Returns whether the response is an interim one (1xx), which the final response follows.
@@ -54,19 +54,21 @@
   // Starts to read the body. Called when the head is complete. The body is buffered for some time, with
   // memory reserved from `memory`.
   void BeginBody(MemoryBudget& memory);
-  // Reads up to `max_bytes` bytes of the body and calls `done(error_code)`.
+  // Reads up to `max_bytes` bytes of the body and calls `done(error_code)`. By then the response may have
+  // been cleared.
   template <typename Done>
   void ReadPiece(boost::asio::ip::tcp::socket& socket, std::size_t max_bytes, Done done) {
     piece_.resize(max_bytes);
     parser_->get().body() = {piece_.data(), piece_.size(), true};
     boost::beast::http::async_read_some(
         socket, buffer_, *parser_,
-        [this, done = std::move(done)](boost::system::error_code failed, std::size_t) mutable {
+        [done = std::move(done)](boost::system::error_code failed, std::size_t) mutable {
           if (failed == boost::beast::http::error::need_buffer) failed = {};
-          if (!failed && HasTooManyFields(head())) failed = boost::beast::http::error::header_limit;
           done(failed);
         });
   }
+  // Returns whether the head and the trailer, as far as it has been read, have too many fields together.
+  bool HasTooManyFields() const { return proxy::HasTooManyFields(head()); }
   // Returns the size of the piece that was read last.
   std::size_t LastPieceBytes() const { return piece_.size() - parser_->get().body().size; }
   // Returns the number of bytes of the body received so far, including discarded ones.
@@ -110,20 +112,20 @@
   void Clear();
 
  private:
-  template <typename Done>
-  void ReadMoreOfHead(boost::asio::ip::tcp::socket& socket, const MemoryBudget& memory, Done done) {
+  template <typename HasRoom, typename Done>
+  void ReadMoreOfHead(boost::asio::ip::tcp::socket& socket, HasRoom has_room, Done done) {
     socket.async_read_some(
         buffer_.prepare(NextReadBytes(buffer_)),
-        [this, &socket, &memory, done = std::move(done)](boost::system::error_code failed,
-                                                         std::size_t n) mutable {
+        [this, &socket, has_room = std::move(has_room), done = std::move(done)](
+            boost::system::error_code failed, std::size_t n) mutable {
           buffer_.commit(n);
           const bool is_complete = !failed && ParseBufferedHead(buffer_, *parser_, &failed);
           if (!failed && !is_complete && buffer_.size() == buffer_.max_size())
             failed = boost::beast::http::error::header_limit;
           const bool is_large = buffer_.size() + NextReadBytes(buffer_) > kSmallHeadBytes;
-          if (!failed && !is_complete && is_large && !memory.HasRoom(buffer_.size()))
+          if (!failed && !is_complete && is_large && !has_room(buffer_.size()))
             failed = boost::asio::error::no_memory;
-          failed || is_complete ? done(failed) : ReadMoreOfHead(socket, memory, std::move(done));
+          failed || is_complete ? done(failed) : ReadMoreOfHead(socket, std::move(has_room), std::move(done));
         });
   }
 
--- a/tests/memory/memory_soak_test.cpp
+++ b/tests/memory/memory_soak_test.cpp
@@ -34,6 +34,7 @@
 using Random = std::mt19937_64;
 
 constexpr double kMemoryMb = 32;
+constexpr std::size_t kLastLines = 20;  // of a process that has ended by itself
 constexpr int kClientThreads = 40;
 constexpr std::size_t kOpenPerThread = 10;  // connections that a thread leaves open, stalled
 constexpr milliseconds kDeadline{2000};
@@ -199,6 +200,16 @@
   double most_mb = 0;  // resident memory of all processes together
 };
 
+// Returns how a process that should be running has ended, and its last lines.
+std::string DescribeEnd(Process& process) {
+  const int status = process.Reap();
+  std::string text = "the process has ended by itself: status " + std::to_string(status) + "\n";
+  const std::vector<std::string> lines = process.LinesAtEnd();
+  for (std::size_t i = lines.size() - std::min<std::size_t>(lines.size(), kLastLines); i < lines.size(); ++i)
+    text += lines[i] + "\n";
+  return text;
+}
+
 std::uint64_t Seed() { return static_cast<std::uint64_t>(FromEnvironment("SOAK_SEED", 1)); }
 
 void RunSoak(SoakResult* result) {
@@ -250,7 +261,7 @@
     clients.emplace_back([&, i] { DrawnClient(record, port.tcp(), seed * 1000, i).Run(is_over); });
   for (const auto until = Clock::now() + length; Clock::now() < until;) {
     std::this_thread::sleep_for(milliseconds(1000 + Draw(random, 3000)));
-    ASSERT_GT(StatusMb(pids[0], "VmRSS"), 0) << "the process has ended by itself";
+    ASSERT_GT(StatusMb(pids[0], "VmRSS"), 0) << DescribeEnd(*processes[0]);
     if (Draw(random, 3) == 0) {
       processes[0]->Kill();
       run(0);
@@ -258,8 +269,8 @@
     }
     run(1);
     std::this_thread::sleep_for(milliseconds(3500));  // it takes clients after 3 s without a list
-    ASSERT_GT(StatusMb(pids[0], "VmRSS"), 0) << "the old process has ended by itself";
-    ASSERT_GT(StatusMb(pids[1], "VmRSS"), 0) << "the new process has ended by itself";
+    ASSERT_GT(StatusMb(pids[0], "VmRSS"), 0) << "old: " << DescribeEnd(*processes[0]);
+    ASSERT_GT(StatusMb(pids[1], "VmRSS"), 0) << "new: " << DescribeEnd(*processes[1]);
     processes[0]->Signal(SIGTERM);
     std::this_thread::sleep_for(kDeadline + milliseconds(700));
     processes[0]->Kill();
