Limit what the system buffers for a connection

Memory that no budget of the process can count: a stalled upload of 16 MB left 4.2 MB, a response that is not read 3.0 MB in the buffers of its four socket ends, which the system lets grow by themselves. Hundreds of slow clients hold as much each.

The listener of clients and connections to servers ask for 128 kB in each direction, which Linux doubles. SocketBuffers.* failed with 2,972,160 and 4,162,560 bytes before and holds its bound of 1 MiB now.

--- a/src/proxy/backend/connection.cpp
+++ b/src/proxy/backend/connection.cpp
@@ -9,6 +9,7 @@
 
 #include "base/log.h"
 #include "proxy/failures.h"
+#include "socket_buffers.h"
 
 namespace load_balancer::proxy {
 namespace {
@@ -56,6 +57,7 @@
 void Backends::Connection::Open(const Tcp::endpoint& address, Duration connect_timeout) {
   Error error;
   socket_.open(address.protocol(), error);
+  if (!error) LimitSocketBuffers(socket_);
   if (const auto& local_address = owner_->limits_.local_address; local_address && !error)
     socket_.bind(*local_address, error);
   if (!error) socket_.set_option(Tcp::no_delay(true), error);
--- a/src/proxy/clients.cpp
+++ b/src/proxy/clients.cpp
@@ -9,6 +9,7 @@
 
 #include "client/peer_state.h"
 #include "client/session.h"
+#include "socket_buffers.h"
 
 namespace load_balancer::proxy {
 namespace {
@@ -51,6 +52,7 @@
 
 void Clients::Open() {
   acceptor_.open(address_.protocol());
+  LimitSocketBuffers(acceptor_);
   acceptor_.set_option(Tcp::acceptor::reuse_address(true));  // a restarted process uses the same address
   // Without SO_REUSEPORT no second process can listen on this address. The proxy works nevertheless, so
   // errors are ignored.
